--- /dev/null
+++ b/crates/admin/src/convert.rs
@@ -0,0 +1,247 @@
+//! Between the schema's messages and the configuration's changes.
+
+use config::{
+    CascadeSpec, CascadeStep, Change, Gate, ModelSpec, ObjectKey, RolloutAction,
+    RolloutSpec, ServiceSpec, TeamSpec, VersionSpec, WithdrawMode,
+};
+use displaydoc::Display;
+
+use crate::{
+    Cascade, Delete, Model, Reinstate, Rollout, RolloutControl, Service, Step, Team,
+    Version, Withdraw, apply_request,
+};
+
+/// Why a message is no change.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum ConvertError {
+    /// {0:?} is no gate; give fixed or sequential
+    Gate(String),
+    /// {0:?} is no action on a roll-out; give advance, pause, resume or abort
+    Action(String),
+    /// {0:?} is no kind of object; give team, model, version, cascade, rollout or service
+    Kind(String),
+    /// {0:?} names no version; give model@version
+    VersionName(String),
+    /// the request holds no change; set one
+    Empty,
+}
+
+impl std::error::Error for ConvertError {}
+
+fn strings(list: &[pilota::FastStr]) -> Vec<String> {
+    list.iter().map(ToString::to_string).collect()
+}
+
+fn fast(list: &[String]) -> Vec<pilota::FastStr> {
+    list.iter().map(|text| text.clone().into()).collect()
+}
+
+/// Reads a change.
+pub fn change_from_wire(
+    change: &apply_request::Change,
+) -> Result<Change, ConvertError> {
+    use apply_request::Change as Wire;
+    Ok(match change {
+        Wire::Team(team) => Change::Team(TeamSpec {
+            name: team.name.to_string(),
+            token_digests: strings(&team.token_digests),
+            allowed: strings(&team.allowed),
+            services: strings(&team.services),
+            max_concurrent: team.max_concurrent,
+            tokens_per_minute: team.tokens_per_minute,
+            weight: team.weight,
+        }),
+        Wire::Model(model) => Change::Model(ModelSpec {
+            name: model.name.to_string(),
+            serving: model.serving.to_string(),
+        }),
+        Wire::Version(version) => Change::Version(VersionSpec {
+            model: version.model.to_string(),
+            version: version.version.to_string(),
+            cost_micros_per_ktoken: version.cost_micros_per_ktoken,
+            quality: version.quality,
+        }),
+        Wire::Cascade(cascade) => Change::Cascade(CascadeSpec {
+            name: cascade.name.to_string(),
+            steps: cascade.steps.iter().map(read_step).collect(),
+        }),
+        Wire::Rollout(rollout) => Change::Rollout(RolloutSpec {
+            model: rollout.model.to_string(),
+            to: rollout.to.to_string(),
+            percents: rollout.percents.clone(),
+            gate: read_gate(&rollout.gate)?,
+            step_ms: rollout.step_ms,
+        }),
+        Wire::Service(service) => Change::Service(ServiceSpec {
+            name: service.name.to_string(),
+            idempotent: service.idempotent,
+            cost_micros: service.cost_micros,
+        }),
+        Wire::Withdraw(withdraw) => Change::Withdraw {
+            model: withdraw.model.to_string(),
+            version: withdraw.version.to_string(),
+            mode: if withdraw.let_sessions_finish {
+                WithdrawMode::LetSessionsFinish
+            } else {
+                WithdrawMode::Now
+            },
+        },
+        Wire::Reinstate(reinstate) => Change::Reinstate {
+            model: reinstate.model.to_string(),
+            version: reinstate.version.to_string(),
+        },
+        Wire::RolloutControl(control) => Change::RolloutControl {
+            model: control.model.to_string(),
+            action: read_action(&control.action)?,
+            reason: control.reason.to_string(),
+        },
+        Wire::Delete(delete) => Change::Delete(read_key(&delete.kind, &delete.name)?),
+    })
+}
+
+fn read_step(step: &Step) -> CascadeStep {
+    CascadeStep {
+        model: step.model.to_string(),
+        pass_rating: step.pass_rating,
+    }
+}
+
+fn read_gate(gate: &str) -> Result<Gate, ConvertError> {
+    match gate {
+        "fixed" => Ok(Gate::Fixed),
+        "sequential" | "" => Ok(Gate::Sequential),
+        other => Err(ConvertError::Gate(other.to_owned())),
+    }
+}
+
+fn read_action(action: &str) -> Result<RolloutAction, ConvertError> {
+    match action {
+        "advance" => Ok(RolloutAction::Advance),
+        "pause" => Ok(RolloutAction::Pause),
+        "resume" => Ok(RolloutAction::Resume),
+        "abort" => Ok(RolloutAction::Abort),
+        other => Err(ConvertError::Action(other.to_owned())),
+    }
+}
+
+fn read_key(kind: &str, name: &str) -> Result<ObjectKey, ConvertError> {
+    Ok(match kind {
+        "team" => ObjectKey::Team(name.to_owned()),
+        "model" => ObjectKey::Model(name.to_owned()),
+        "cascade" => ObjectKey::Cascade(name.to_owned()),
+        "rollout" => ObjectKey::Rollout(name.to_owned()),
+        "service" => ObjectKey::Service(name.to_owned()),
+        "version" => {
+            let (model, version) = name
+                .split_once('@')
+                .ok_or_else(|| ConvertError::VersionName(name.to_owned()))?;
+            ObjectKey::Version(model.to_owned(), version.to_owned())
+        }
+        other => return Err(ConvertError::Kind(other.to_owned())),
+    })
+}
+
+/// Writes a change.
+pub fn change_to_wire(change: &Change) -> apply_request::Change {
+    use apply_request::Change as Wire;
+    match change {
+        Change::Team(spec) => Wire::Team(Team {
+            name: spec.name.clone().into(),
+            token_digests: fast(&spec.token_digests),
+            allowed: fast(&spec.allowed),
+            services: fast(&spec.services),
+            max_concurrent: spec.max_concurrent,
+            tokens_per_minute: spec.tokens_per_minute,
+            weight: spec.weight,
+        }),
+        Change::Model(spec) => Wire::Model(Model {
+            name: spec.name.clone().into(),
+            serving: spec.serving.clone().into(),
+        }),
+        Change::Version(spec) => Wire::Version(Version {
+            model: spec.model.clone().into(),
+            version: spec.version.clone().into(),
+            cost_micros_per_ktoken: spec.cost_micros_per_ktoken,
+            quality: spec.quality,
+            ..Version::default()
+        }),
+        Change::Cascade(spec) => Wire::Cascade(Cascade {
+            name: spec.name.clone().into(),
+            steps: spec
+                .steps
+                .iter()
+                .map(|step| Step {
+                    model: step.model.clone().into(),
+                    pass_rating: step.pass_rating,
+                })
+                .collect(),
+        }),
+        Change::Rollout(spec) => Wire::Rollout(Rollout {
+            model: spec.model.clone().into(),
+            to: spec.to.clone().into(),
+            percents: spec.percents.clone(),
+            gate: if spec.gate == Gate::Fixed {
+                "fixed".into()
+            } else {
+                "sequential".into()
+            },
+            step_ms: spec.step_ms,
+            ..Rollout::default()
+        }),
+        Change::Service(spec) => Wire::Service(Service {
+            name: spec.name.clone().into(),
+            idempotent: spec.idempotent,
+            cost_micros: spec.cost_micros,
+        }),
+        Change::Withdraw {
+            model,
+            version,
+            mode,
+        } => Wire::Withdraw(Withdraw {
+            model: model.clone().into(),
+            version: version.clone().into(),
+            let_sessions_finish: *mode == WithdrawMode::LetSessionsFinish,
+        }),
+        Change::Reinstate { model, version } => Wire::Reinstate(Reinstate {
+            model: model.clone().into(),
+            version: version.clone().into(),
+        }),
+        Change::RolloutControl {
+            model,
+            action,
+            reason,
+        } => Wire::RolloutControl(RolloutControl {
+            model: model.clone().into(),
+            action: action_name(*action).into(),
+            reason: reason.clone().into(),
+        }),
+        Change::Delete(key) => {
+            let (kind, name) = key_names(key);
+            Wire::Delete(Delete {
+                kind: kind.into(),
+                name: name.into(),
+            })
+        }
+    }
+}
+
+fn action_name(action: RolloutAction) -> &'static str {
+    match action {
+        RolloutAction::Advance => "advance",
+        RolloutAction::Pause => "pause",
+        RolloutAction::Resume => "resume",
+        RolloutAction::Halt => "halt",
+        RolloutAction::Abort => "abort",
+    }
+}
+
+fn key_names(key: &ObjectKey) -> (&'static str, String) {
+    match key {
+        ObjectKey::Team(name) => ("team", name.clone()),
+        ObjectKey::Model(name) => ("model", name.clone()),
+        ObjectKey::Version(model, version) => ("version", format!("{model}@{version}")),
+        ObjectKey::Cascade(name) => ("cascade", name.clone()),
+        ObjectKey::Rollout(model) => ("rollout", model.clone()),
+        ObjectKey::Service(name) => ("service", name.clone()),
+    }
+}
--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,19 @@
+//! Operators' interface: schema, conversions and client.
+//!
+//! The schema is `schema/admin.proto`; `admin_gen.rs` is made from it by
+//! `tools/codegen` and committed.
+
+#[rustfmt::skip]
+#[allow(missing_docs, warnings)]
+mod admin_gen;
+mod client;
+mod convert;
+
+pub use admin_gen::admin_gen::currantbank::admin::{
+    Admin, AdminServer, ApplyReply, ApplyRequest, AuditEntry, AuditReply, AuditRequest,
+    Cascade, Delete, Instance, ListReply, ListRequest, Listed, Model, Outcome,
+    Reinstate, Rollout, RolloutControl, Service, StatusReply, StatusRequest, Step,
+    Team, Version, Withdraw, apply_request,
+};
+pub use client::{AdminCalls, AdminError};
+pub use convert::{ConvertError, change_from_wire, change_to_wire};
--- /dev/null
+++ b/crates/agent/src/attempt.rs
@@ -0,0 +1,292 @@
+//! Runs one attempt on a model engine.
+
+use std::{rc::Rc, time::Duration};
+
+use bill::{Bill, Line};
+use bytes::Bytes;
+use gate::{Admitted, Permit, Reason, Started};
+use log::warn;
+use serde_json::Value;
+use telemetry::Event;
+use tokio::sync::Notify;
+use wire::{
+    AttemptId, AttemptState, Checker, Dispatch, Failure, Frame, FrameKind, FrameSink,
+    Ran, SinkGone,
+};
+
+use crate::{
+    Agent,
+    engine::{Answer, EngineError, Piece},
+    service,
+};
+
+/// Tokens that a price is given for.
+const PRICED_TOKENS: u64 = 1_000;
+
+/// Runs an attempt in a task of its own.
+pub(crate) fn spawn(
+    agent: Rc<Agent>,
+    permit: Permit<Admitted>,
+    dispatch: Dispatch,
+    sink: FrameSink,
+) {
+    let cancel = Rc::new(Notify::new());
+    agent
+        .cancels
+        .borrow_mut()
+        .insert(dispatch.id.clone(), cancel.clone());
+    tokio::task::spawn_local(async move {
+        let out = Output::new(dispatch.id.clone(), sink);
+        if dispatch.service.is_empty() {
+            run_engine(&agent, permit, &dispatch, out, &cancel).await;
+        } else {
+            service::run(&agent, permit, &dispatch, out).await;
+        }
+        agent.cancels.borrow_mut().remove(&dispatch.id);
+    });
+}
+
+/// Numbers, counts and sends the frames of one attempt.
+pub(crate) struct Output {
+    id: AttemptId,
+    sink: FrameSink,
+    checker: Checker,
+}
+
+impl Output {
+    fn new(id: AttemptId, sink: FrameSink) -> Self {
+        Output {
+            id,
+            sink,
+            checker: Checker::default(),
+        }
+    }
+
+    /// Sends a piece of the answer.
+    pub async fn chunk(&mut self, payload: Bytes, tokens: u32) -> Result<(), SinkGone> {
+        let frame = Frame {
+            id: self.id.clone(),
+            seq: self.checker.count(),
+            kind: FrameKind::Chunk,
+            payload,
+            tokens,
+            ..Frame::default()
+        };
+        self.checker.push(&frame.payload, tokens);
+        self.sink.push(&frame).await
+    }
+
+    /// Sends the end mark of a whole answer; `mark` says what the answer used.
+    pub async fn end(&self, mark: Frame) -> Result<(), SinkGone> {
+        let frame = Frame {
+            id: self.id.clone(),
+            seq: self.checker.count(),
+            kind: FrameKind::End,
+            count: self.checker.count(),
+            checksum: self.checker.checksum(),
+            ..mark
+        };
+        self.sink.push(&frame).await
+    }
+
+    /// Sends the end of an attempt without a whole answer.
+    pub async fn failed(&self, failure: &Failure) -> Result<(), SinkGone> {
+        let frame = Frame {
+            id: self.id.clone(),
+            seq: self.checker.count(),
+            kind: FrameKind::Failed,
+            payload: failure.encode(),
+            ..Frame::default()
+        };
+        self.sink.push(&frame).await
+    }
+
+    /// Tells that the gate did not let the attempt start.
+    pub async fn refused(&self, reason: Reason) {
+        let refusal = wire::Refusal::from(reason);
+        let failure = Failure {
+            reason: refusal.reason,
+            remedy: refusal.remedy,
+            ran: Ran::No,
+            retry_after_ms: refusal.retry_after_ms,
+        };
+        let _ = self.failed(&failure).await;
+    }
+
+    /// Whether anything of the answer was sent.
+    fn has_begun(&self) -> bool {
+        self.checker.count() > 0
+    }
+}
+
+/// How an engine's answer ended.
+enum Ended {
+    Whole {
+        prompt_tokens: u32,
+        output_tokens: u32,
+    },
+    Cancelled,
+    Engine(EngineError),
+    EntryGone,
+    TooLate,
+}
+
+async fn run_engine(
+    agent: &Rc<Agent>,
+    permit: Permit<Admitted>,
+    dispatch: &Dispatch,
+    mut out: Output,
+    cancel: &Notify,
+) {
+    let permit = match agent.with_gate(|gate, cx| gate.start(permit, cx)) {
+        Ok(permit) => permit,
+        Err(reason) => return out.refused(reason).await,
+    };
+    let left_ms = permit.work().deadline.since(agent.now());
+    let limit = Duration::from_millis(left_ms);
+    let ended = tokio::select! {
+        ended = stream(agent, &permit, dispatch, &mut out) => ended,
+        () = cancel.notified() => Ended::Cancelled,
+        () = tokio::time::sleep(limit) => Ended::TooLate,
+    };
+    finish(agent, dispatch, &out, ended).await;
+}
+
+/// Passes the engine's answer on.  Dropping this future closes the engine's
+/// connection, which cancels the generation there.
+async fn stream(
+    agent: &Agent,
+    _permit: &Permit<Started>,
+    dispatch: &Dispatch,
+    out: &mut Output,
+) -> Ended {
+    let mut answer = match Answer::start(agent, engine_body(dispatch)).await {
+        Ok(answer) => answer,
+        Err(err) => return Ended::Engine(err),
+    };
+    loop {
+        match answer.next().await {
+            Ok(Piece::Text(text)) => {
+                if out.chunk(Bytes::from(text), 1).await.is_err() {
+                    return Ended::EntryGone;
+                }
+            }
+            Ok(Piece::End {
+                prompt_tokens,
+                output_tokens,
+            }) => {
+                return Ended::Whole {
+                    prompt_tokens,
+                    output_tokens,
+                };
+            }
+            Err(err) => return Ended::Engine(err),
+        }
+    }
+}
+
+async fn finish(agent: &Agent, dispatch: &Dispatch, out: &Output, ended: Ended) {
+    let id = &dispatch.id;
+    let now = agent.now();
+    let state = match ended {
+        Ended::Whole {
+            prompt_tokens,
+            output_tokens,
+        } => {
+            // The copy stands here before the entry can tell anyone.
+            let line = Line {
+                model: dispatch.model.clone(),
+                version: dispatch.version.clone(),
+                prompt_tokens: u64::from(prompt_tokens),
+                output_tokens: u64::from(output_tokens),
+                cost_micros: price(dispatch, prompt_tokens, output_tokens),
+            };
+            hold_copy(agent, dispatch, line);
+            let mark = Frame {
+                tokens: output_tokens,
+                prompt_tokens,
+                status: 200,
+                ..Frame::default()
+            };
+            let _ = out.end(mark).await;
+            AttemptState::Done
+        }
+        Ended::Cancelled | Ended::EntryGone => AttemptState::Failed("cancelled".into()),
+        Ended::TooLate => {
+            let failure = failure(out, "deadline", "allow more time");
+            let _ = out.failed(&failure).await;
+            AttemptState::Failed("deadline".into())
+        }
+        Ended::Engine(err) => {
+            let (reason, why) = match err {
+                EngineError::Refused(why) => ("engine_refused", why),
+                EngineError::Broken(why) => ("engine_broken", why),
+            };
+            let event = Event::new(reason)
+                .with("request", &id.request_id)
+                .with("why", &why);
+            warn!("{event}");
+            let failure = failure(out, reason, "try another endpoint");
+            let _ = out.failed(&failure).await;
+            AttemptState::Failed(why)
+        }
+    };
+    agent.gate.borrow_mut().end(id, state, now);
+}
+
+fn failure(out: &Output, reason: &str, remedy: &str) -> Failure {
+    Failure {
+        reason: reason.into(),
+        remedy: remedy.into(),
+        ran: if out.has_begun() {
+            Ran::Partly
+        } else {
+            Ran::Unknown
+        },
+        retry_after_ms: 0,
+    }
+}
+
+/// Price of a step, in millionths of a euro.
+pub(crate) fn price(
+    dispatch: &Dispatch,
+    prompt_tokens: u32,
+    output_tokens: u32,
+) -> u64 {
+    let tokens = u64::from(prompt_tokens) + u64::from(output_tokens);
+    tokens * dispatch.cost_micros / PRICED_TOKENS
+}
+
+/// Holds a copy of the request's bill until its owner settles it, or for the
+/// owner's sake if that is gone by then.
+pub(crate) fn hold_copy(agent: &Agent, dispatch: &Dispatch, line: Line) {
+    let mut lines: Vec<Line> =
+        serde_json::from_str(&dispatch.prior_steps).unwrap_or_default();
+    lines.push(line);
+    let bill = Bill {
+        request_id: dispatch.id.request_id.clone(),
+        team: dispatch.team.clone(),
+        at_ms: clock::Clock::wall(&agent.node.clock).0,
+        lines,
+    };
+    let due = agent.now().plus(agent.node.settings.entry.bill_handover_ms);
+    agent.node.bills().hold(bill, due, &dispatch.owner);
+}
+
+/// The caller's body, with what the engine needs set by us: the version, the
+/// stream, the priority, and where to resume.
+fn engine_body(dispatch: &Dispatch) -> Bytes {
+    let mut body: Value = serde_json::from_slice(&dispatch.body)
+        .unwrap_or_else(|_| Value::Object(Default::default()));
+    if let Value::Object(fields) = &mut body {
+        let version = format!("{}@{}", dispatch.model, dispatch.version);
+        fields.insert("model".into(), version.into());
+        fields.insert("stream".into(), true.into());
+        fields.insert("priority".into(), dispatch.priority.into());
+        if dispatch.resume_tokens > 0 {
+            fields.insert("resume_text".into(), dispatch.resume_text.as_str().into());
+            fields.insert("resume_tokens".into(), dispatch.resume_tokens.into());
+        }
+    }
+    Bytes::from(serde_json::to_vec(&body).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,38 @@
+//! Configuration records and their deterministic fold.
+//!
+//! Operators' changes are records on the platform's log.  Every process folds
+//! them in offset order, and the fold, not the writer, decides which change
+//! holds: the first valid one wins, a repeat of a known change id does nothing,
+//! a stale one is a typed conflict.  See `docs/design/configuration.md`.
+//!
+//! ```
+//! use config::{Change, ChangeRecord, Config, ModelSpec, Verdict};
+//!
+//! let mut config = Config::default();
+//! let record = ChangeRecord {
+//!     change_id: "c1".into(),
+//!     who: "alice".into(),
+//!     change: Change::Model(ModelSpec { name: "draft".into(), serving: "".into() }),
+//!     ..ChangeRecord::default()
+//! };
+//! let verdict = config.apply(0, &record.encode());
+//! assert_eq!(verdict, Verdict::Accepted { revision: 1 });
+//! ```
+
+mod audit;
+mod fold;
+mod name;
+mod record;
+mod snapshot;
+mod tables;
+
+pub use audit::{AuditEntry, AuditFilter};
+pub use fold::{ChangeError, Config, Verdict};
+pub use name::{NameError, check_name};
+pub use record::{
+    CascadeSpec, CascadeStep, Change, ChangeRecord, Gate, ModelSpec, ObjectKey,
+    RECORD_VERSION, RolloutAction, RolloutSpec, ServiceSpec, TeamSpec, VersionSpec,
+    WithdrawMode,
+};
+pub use snapshot::{Loader, SnapshotError, SnapshotPart};
+pub use tables::{Entity, Rollout, RolloutState, Version, VersionState};
--- /dev/null
+++ b/crates/entry/src/admin.rs
@@ -0,0 +1,338 @@
+//! Operators' interface, served.
+
+use std::sync::Arc;
+
+use admin::{
+    Admin, AdminServer, ApplyReply, ApplyRequest, AuditReply, AuditRequest, Instance,
+    ListReply, ListRequest, Listed, Outcome, StatusReply, StatusRequest,
+    change_from_wire,
+};
+use clock::Clock;
+use config::{AuditFilter, ChangeRecord, Config, Entity, Verdict};
+use log::{error, info};
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use store::CONFIG_STREAM;
+use subtle::ConstantTimeEq;
+use telemetry::Event;
+use tokio::net::TcpListener;
+use volo::net::incoming::DefaultIncoming;
+use volo_grpc::{
+    Request, Response, Status,
+    server::{Server, ServiceBuilder},
+};
+
+use crate::Entry;
+
+/// Longest wait for a change to be read back, ms.
+const READ_BACK_MS: u64 = 10_000;
+
+/// Time between two looks for a change, ms.
+const LOOK_MS: u64 = 50;
+
+/// Longest change id, bytes.
+const CHANGE_ID_MAX_BYTES: usize = 128;
+
+struct Service(Arc<Entry>);
+
+/// Serves operators until the process stops.
+pub(crate) fn spawn(entry: Arc<Entry>, listener: TcpListener) {
+    let service = ServiceBuilder::new(AdminServer::new(Service(entry))).build();
+    let server = Server::new().add_service(service);
+    tokio::spawn(async move {
+        let stop = std::future::pending::<std::io::Result<()>>();
+        let incoming = DefaultIncoming::from(listener);
+        if let Err(err) = server.run_with_shutdown(incoming, stop).await {
+            error!("{}", Event::new("admin_failed").with("why", err));
+        }
+    });
+}
+
+impl Service {
+    /// The operator whose token came; a team's token is nobody's here.
+    // The error is the library's own, which its callers pass on as it is.
+    #[allow(clippy::result_large_err)]
+    fn operator<T>(&self, request: &Request<T>) -> Result<String, Status> {
+        let value = request.metadata().get("authorization");
+        let value = value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
+        let token = value.strip_prefix("Bearer ").unwrap_or_default();
+        let digest = hex::encode(Sha256::digest(token));
+        let mut found = None;
+        for operator in &self.0.node.settings.secrets.operators {
+            let known = operator.token_digest.as_bytes();
+            if bool::from(known.ct_eq(digest.as_bytes())) {
+                found = Some(operator.name.clone());
+            }
+        }
+        found.ok_or_else(|| {
+            Status::unauthenticated("no operator has this token; set CURRANTBANK_TOKEN")
+        })
+    }
+}
+
+impl Admin for Service {
+    async fn apply(
+        &self,
+        request: Request<ApplyRequest>,
+    ) -> Result<Response<ApplyReply>, Status> {
+        let who = self.operator(&request)?;
+        let message = request.into_inner();
+        Ok(Response::new(apply(&self.0, &who, message).await))
+    }
+
+    async fn list(
+        &self,
+        request: Request<ListRequest>,
+    ) -> Result<Response<ListReply>, Status> {
+        self.operator(&request)?;
+        let config = self.0.config();
+        let kind = request.into_inner().kind;
+        let objects = list(&config, &kind).ok_or_else(|| {
+            Status::invalid_argument(
+                "no such kind; give team, model, version, cascade, rollout or service",
+            )
+        })?;
+        Ok(Response::new(ListReply {
+            objects,
+            config_offset: config.offset,
+        }))
+    }
+
+    async fn status(
+        &self,
+        request: Request<StatusRequest>,
+    ) -> Result<Response<StatusReply>, Status> {
+        self.operator(&request)?;
+        Ok(Response::new(status(&self.0)))
+    }
+
+    async fn audit(
+        &self,
+        request: Request<AuditRequest>,
+    ) -> Result<Response<AuditReply>, Status> {
+        self.operator(&request)?;
+        let message = request.into_inner();
+        let filter = AuditFilter {
+            who: &message.who,
+            object: &message.object,
+            since_ms: message.since_ms,
+            limit: message.limit as usize,
+        };
+        let trail = self.0.config().audit();
+        let entries = filter
+            .pick(&trail)
+            .into_iter()
+            .map(|entry| admin::AuditEntry {
+                offset: entry.offset,
+                at_ms: entry.at_ms,
+                who: entry.who.clone().into(),
+                change_id: entry.change_id.clone().into(),
+                object: entry.object.clone().into(),
+                verdict: entry.verdict.clone().into(),
+                before: entry.before.clone().into(),
+                after: entry.after.clone().into(),
+            });
+        Ok(Response::new(AuditReply {
+            entries: entries.collect(),
+        }))
+    }
+}
+
+fn invalid(detail: &str) -> ApplyReply {
+    ApplyReply {
+        outcome: Outcome::INVALID,
+        detail: detail.to_owned().into(),
+        ..ApplyReply::default()
+    }
+}
+
+/// Publishes a change and reads it back.  The fold decides; an append whose
+/// answer was lost is looked for by its change id.
+async fn apply(entry: &Entry, who: &str, message: ApplyRequest) -> ApplyReply {
+    let change_id = message.change_id.to_string();
+    if change_id.is_empty() || change_id.len() > CHANGE_ID_MAX_BYTES {
+        return invalid("the change id must have 1 to 128 bytes; choose one");
+    }
+    let Some(change) = &message.change else {
+        return invalid("the request holds no change; set one");
+    };
+    let change = match change_from_wire(change) {
+        Ok(change) => change,
+        Err(err) => return invalid(&err.to_string()),
+    };
+    let object = change.object();
+    if let Some(verdict) = entry.config().verdict_of(&change_id) {
+        return reply(entry, verdict, &object);
+    }
+    let record = ChangeRecord {
+        change_id: change_id.clone(),
+        who: who.to_owned(),
+        at_ms: entry.node.clock.wall().0,
+        expected_revision: message.expected_revision,
+        change,
+        ..ChangeRecord::default()
+    };
+    let appended = entry
+        .node
+        .store
+        .append(CONFIG_STREAM, &record.encode())
+        .await;
+    let event = Event::new("change")
+        .with("who", who)
+        .with("change_id", &change_id)
+        .with("object", &object)
+        .with("appended", appended.is_ok());
+    info!("{event}");
+    if let Err(err) = &appended
+        && !err.is_unknown()
+    {
+        return ApplyReply {
+            outcome: Outcome::UNKNOWN,
+            detail: format!(
+                "{err}; nothing was changed, send it again with the same id"
+            )
+            .into(),
+            ..ApplyReply::default()
+        };
+    }
+    match read_back(entry, &change_id).await {
+        Some(verdict) => reply(entry, verdict, &object),
+        None => ApplyReply {
+            outcome: Outcome::UNKNOWN,
+            detail:
+                "the change was not read back in time; send it again with the same id"
+                    .into(),
+            ..ApplyReply::default()
+        },
+    }
+}
+
+async fn read_back(entry: &Entry, change_id: &str) -> Option<Verdict> {
+    let until = entry.node.now().plus(READ_BACK_MS);
+    let mut watch = entry.node.view.watch();
+    loop {
+        if let Some(verdict) = entry.config().verdict_of(change_id) {
+            return Some(verdict);
+        }
+        if entry.node.now() >= until {
+            return None;
+        }
+        let pause = std::time::Duration::from_millis(LOOK_MS);
+        let _ = tokio::time::timeout(pause, watch.changed()).await;
+    }
+}
+
+fn reply(entry: &Entry, verdict: Verdict, object: &config::ObjectKey) -> ApplyReply {
+    let revision = entry.config().revision(object);
+    match verdict {
+        Verdict::Accepted { revision: accepted } => ApplyReply {
+            outcome: Outcome::ACCEPTED,
+            offset: accepted - 1,
+            detail: "".into(),
+            revision: accepted,
+        },
+        Verdict::Refused(err @ config::ChangeError::Stale { .. }) => ApplyReply {
+            outcome: Outcome::CONFLICT,
+            detail: err.to_string().into(),
+            revision,
+            ..ApplyReply::default()
+        },
+        Verdict::Refused(err) => ApplyReply {
+            outcome: Outcome::INVALID,
+            detail: err.to_string().into(),
+            revision,
+            ..ApplyReply::default()
+        },
+        Verdict::Repeat(earlier) => reply(entry, *earlier, object),
+        Verdict::Snapshot | Verdict::Skipped | Verdict::Newer => ApplyReply {
+            outcome: Outcome::UNKNOWN,
+            detail: "the record was not read as a change; upgrade this entry".into(),
+            ..ApplyReply::default()
+        },
+    }
+}
+
+fn list(config: &Config, kind: &str) -> Option<Vec<Listed>> {
+    fn listed<T>(name: &str, entity: &Entity<T>) -> Listed
+    where
+        T: Serialize,
+    {
+        let json = serde_json::to_string(&entity.value).unwrap_or_default();
+        Listed {
+            name: name.to_owned().into(),
+            revision: entity.revision,
+            json: json.into(),
+        }
+    }
+    Some(match kind {
+        "team" => config
+            .teams
+            .iter()
+            .map(|(name, e)| listed(name, e))
+            .collect(),
+        "model" => config
+            .models
+            .iter()
+            .map(|(name, e)| listed(name, e))
+            .collect(),
+        "cascade" => config
+            .cascades
+            .iter()
+            .map(|(name, e)| listed(name, e))
+            .collect(),
+        "rollout" => config
+            .rollouts
+            .iter()
+            .map(|(name, e)| listed(name, e))
+            .collect(),
+        "service" => config
+            .services
+            .iter()
+            .map(|(name, e)| listed(name, e))
+            .collect(),
+        "version" => config
+            .versions
+            .iter()
+            .flat_map(|(model, all)| {
+                all.iter()
+                    .map(move |(v, e)| listed(&format!("{model}@{v}"), e))
+            })
+            .collect(),
+        _ => return None,
+    })
+}
+
+fn status(entry: &Entry) -> StatusReply {
+    let now = entry.node.now();
+    let config = entry.config();
+    let own = entry.node.hello();
+    let mut instances = vec![instance(&own, 0)];
+    for (_, peer) in entry.node.peers().iter() {
+        instances.push(instance(&peer.hello, now.since(peer.heard_at)));
+    }
+    StatusReply {
+        config_offset: config.offset,
+        digest: config.digest().into(),
+        instances,
+        store: entry.node.health().as_str().into(),
+    }
+}
+
+fn instance(hello: &wire::Hello, heard_ms: u64) -> Instance {
+    let is_agent = !hello.endpoint.is_empty();
+    Instance {
+        instance: hello.instance.clone().into(),
+        role: if is_agent {
+            "agent".into()
+        } else {
+            "entry".into()
+        },
+        room: hello.room.clone().into(),
+        config_offset: hello.config_offset,
+        leaving: hello.leaving,
+        heard_ms,
+        log_age_ms: hello.log_age_ms,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,59 @@
+//! What an entry answers to other processes.
+
+use std::{rc::Rc, sync::Arc, thread};
+
+use tokio::{net::TcpListener, task::LocalSet};
+use wire::{Hello, PeerHandler};
+
+use crate::Entry;
+
+struct Handler(Arc<Entry>);
+
+impl PeerHandler for Handler {
+    async fn hello(&self, from: Hello) -> Hello {
+        if let Ok(address) = from.address.parse() {
+            self.0.take_report(address, &from);
+        }
+        self.0.node.take_hello(&from).await;
+        self.0.node.hello()
+    }
+
+    async fn fetch_config(&self, have: u64) -> Option<(u64, String)> {
+        self.0.node.config_for(have)
+    }
+
+    async fn hold_bills(&self, owner: String, bills: String) -> Result<(), String> {
+        self.0.node.hold_for(&owner, &bills)
+    }
+
+    async fn release_bills(&self, _owner: String, request_ids: Vec<String>) {
+        self.0
+            .node
+            .bills()
+            .release(request_ids.iter().map(String::as_str));
+    }
+}
+
+/// Serves calls on a thread of their own, since the call library is bound to
+/// one.
+pub(crate) fn spawn(entry: Arc<Entry>, listener: TcpListener) {
+    let listener = listener
+        .into_std()
+        .expect("a listener can leave its runtime");
+    let serve = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime for peers can be built");
+        let serving = async move {
+            let listener =
+                TcpListener::from_std(listener).expect("a listener can join a runtime");
+            wire::serve_peer(listener, Rc::new(Handler(entry))).await;
+        };
+        LocalSet::new().block_on(&runtime, serving);
+    };
+    thread::Builder::new()
+        .name("wire-peers".into())
+        .spawn(serve)
+        .expect("a thread for peers can be started");
+}
--- /dev/null
+++ b/crates/node/src/health.rs
@@ -0,0 +1,54 @@
+//! Whether a process may admit work: the table of cases.
+//!
+//! A process that hears the log, or a peer that lately did, is fresh.  One
+//! that does not must tell two cases apart: the store is down for all, so
+//! that nothing can have been accepted, or this process is cut off, so that a
+//! withdrawal may have passed it by.  It asks the rooms: only if most of them
+//! are heard and none heard the log is the store held to be down.
+
+use std::collections::BTreeSet;
+
+use settings::StoreSettings;
+use store::Health;
+
+/// What a peer last said about the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerNews {
+    /// Room of the peer.
+    pub room: String,
+    /// Age of the log's last answer to it, ms.
+    pub log_age_ms: u64,
+}
+
+/// Judges by this process's own news and its peers'.
+///
+/// `peers` holds only those heard within the silence bound; a peer's fresh
+/// news has lowered `log_age_ms` already.
+pub fn judge(
+    room: &str,
+    config_offset: u64,
+    log_age_ms: u64,
+    peers: &[PeerNews],
+    settings: &StoreSettings,
+) -> Health {
+    if log_age_ms <= settings.stale_after_ms {
+        return Health::Fresh;
+    }
+    if config_offset == 0 {
+        return Health::Empty;
+    }
+    let mut rooms: BTreeSet<&str> = BTreeSet::from([room]);
+    for peer in peers {
+        // A peer that hears the log while we cannot catch up to it proves
+        // that the store is up.
+        if peer.log_age_ms <= settings.stale_after_ms {
+            return Health::CutOff;
+        }
+        rooms.insert(&peer.room);
+    }
+    if rooms.len() * 2 > settings.known_rooms {
+        Health::StoreDown
+    } else {
+        Health::CutOff
+    }
+}
--- /dev/null
+++ b/crates/route/src/cascade.rs
@@ -0,0 +1,115 @@
+//! Which steps of a cascade are worth trying.
+
+use std::collections::HashMap;
+
+/// Ratings that the belief before any rating counts for.
+const PRIOR_WEIGHT: f64 = 4.0;
+
+/// Factor by which older ratings fade at each new one, so that a shift
+/// within the day is followed.
+const FADE: f64 = 0.98;
+
+/// How cheap steps are decided.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CascadePolicy {
+    /// Tried where the learned pass rate makes them pay.
+    #[default]
+    Learned,
+    /// Always tried.
+    Always,
+    /// Never tried; the last step serves.
+    Dearest,
+}
+
+impl CascadePolicy {
+    /// The policy of a settings value.
+    pub fn from_setting(text: &str) -> Self {
+        match text {
+            "always" => CascadePolicy::Always,
+            "dearest" => CascadePolicy::Dearest,
+            _ => CascadePolicy::Learned,
+        }
+    }
+}
+
+/// What a step and going straight to the next one cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StepCosts {
+    /// Price of the step's answer, millionths of a euro.
+    pub step_micros: f64,
+    /// Price of the next step's answer, millionths of a euro.
+    pub next_micros: f64,
+    /// Time of the step and its rating, ms.
+    pub step_ms: f64,
+    /// What a ms of delay weighs, millionths of a euro.
+    pub micros_per_ms: f64,
+    /// Time left until the deadline, ms.
+    pub left_ms: f64,
+    /// Time that the remaining steps need, ms.
+    pub rest_ms: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    passed: f64,
+    failed: f64,
+}
+
+/// Learned pass rates by team and model.
+#[derive(Clone, Debug, Default)]
+pub struct PassRates {
+    seen: HashMap<(String, String), Seen>,
+}
+
+impl PassRates {
+    /// Counts a rating of a step's answer.
+    pub fn rated(&mut self, team: &str, model: &str, passed: bool) {
+        let seen = self
+            .seen
+            .entry((team.to_owned(), model.to_owned()))
+            .or_default();
+        seen.passed *= FADE;
+        seen.failed *= FADE;
+        if passed {
+            seen.passed += 1.0;
+        } else {
+            seen.failed += 1.0;
+        }
+    }
+
+    /// Chance that a step's answer passes; `prior` stands before any rating.
+    pub fn chance(&self, team: &str, model: &str, prior: f64) -> f64 {
+        let found = self.seen.get(&(team.to_owned(), model.to_owned()));
+        let (passed, failed) =
+            found.map_or((0.0, 0.0), |seen| (seen.passed, seen.failed));
+        (passed + prior * PRIOR_WEIGHT) / (passed + failed + PRIOR_WEIGHT)
+    }
+
+    /// Whether a step that is not the last should be tried.  `explore` is a
+    /// draw from 0 to 1: a few requests try a step that seems not to pay, or
+    /// its rate would never be learned again.
+    pub fn worth_trying(
+        &self,
+        policy: CascadePolicy,
+        chance: f64,
+        costs: StepCosts,
+        explore: f64,
+    ) -> bool {
+        if policy == CascadePolicy::Dearest {
+            return false;
+        }
+        if costs.step_ms + costs.rest_ms > costs.left_ms {
+            return false;
+        }
+        if policy == CascadePolicy::Always {
+            return true;
+        }
+        let saved = chance * costs.next_micros;
+        let failing = 1.0 - chance;
+        let spent = costs.step_micros + failing * costs.step_ms * costs.micros_per_ms;
+        saved > spent || explore < EXPLORE_SHARE
+    }
+}
+
+/// Share of requests that try a step that seems not to pay.
+const EXPLORE_SHARE: f64 = 0.02;
--- /dev/null
+++ b/crates/route/src/rollout.rs
@@ -0,0 +1,136 @@
+//! When a roll-out goes on, waits or halts.
+//!
+//! A sequential test compares the new version's outcomes with the serving
+//! version's.  It may be looked at after every outcome: the log-likelihood
+//! ratio of "worse by the margin" against "no worse" is a test martingale, so
+//! looking often does not raise the chance of a false halt above the bound.
+
+use clock::Millis;
+use config::{Gate, Rollout, RolloutState};
+
+/// What the gate halts and passes at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GateSettings {
+    /// Loss in the share of good outcomes that counts as worse.
+    pub margin: f64,
+    /// Chance of halting a version that is no worse.
+    pub false_halt: f64,
+    /// Outcomes on the new version before a step is passed.
+    pub least_outcomes: u32,
+    /// Silence of the rater after which a step is not passed, ms.
+    pub rater_silence_ms: u64,
+}
+
+impl Default for GateSettings {
+    fn default() -> Self {
+        GateSettings {
+            margin: 0.10,
+            false_halt: 0.01,
+            least_outcomes: 30,
+            rater_silence_ms: 30_000,
+        }
+    }
+}
+
+/// One rated or failed answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GateInput {
+    /// Whether the new version gave it.
+    pub on_new: bool,
+    /// Whether it was good: rated at or above the bar, and no error.
+    pub good: bool,
+    /// When it was known.
+    pub at: Millis,
+}
+
+/// What to do with the roll-out now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GateVerdict {
+    /// Stay at the step.
+    Wait,
+    /// Go to the next step.
+    Advance,
+    /// Send new sessions back to the serving version.
+    Halt,
+}
+
+/// Evidence on one roll-out's new version.
+#[derive(Clone, Debug, Default)]
+pub struct RolloutGate {
+    old_good: f64,
+    old_bad: f64,
+    new_seen: u32,
+    /// Log of the likelihood ratio of "worse" against "no worse".
+    evidence: f64,
+    last_rating: Option<Millis>,
+}
+
+impl RolloutGate {
+    /// Counts an outcome.
+    pub fn take(&mut self, input: GateInput, settings: &GateSettings) {
+        self.last_rating = Some(input.at);
+        if !input.on_new {
+            if input.good {
+                self.old_good += 1.0;
+            } else {
+                self.old_bad += 1.0;
+            }
+            return;
+        }
+        self.new_seen += 1;
+        let no_worse = self.old_rate();
+        let worse = (no_worse - settings.margin).max(0.01);
+        let ratio = if input.good {
+            worse / no_worse
+        } else {
+            (1.0 - worse) / (1.0 - no_worse)
+        };
+        // Below zero, evidence that it is fine would hide that it turned bad.
+        self.evidence = (self.evidence + ratio.ln()).max(0.0);
+    }
+
+    /// Share of good outcomes on the serving version, from a prior of nine in
+    /// ten, kept off 0 and 1.
+    fn old_rate(&self) -> f64 {
+        let rate = (self.old_good + 9.0) / (self.old_good + self.old_bad + 10.0);
+        rate.clamp(0.05, 0.98)
+    }
+
+    /// Outcomes seen on the new version.
+    pub fn new_seen(&self) -> u32 {
+        self.new_seen
+    }
+
+    /// Decides.  `wall` is compared with the step's start, which stands on
+    /// the log in wall-clock time, so that another process can go on.
+    pub fn verdict(
+        &self,
+        rollout: &Rollout,
+        wall: Millis,
+        now: Millis,
+        settings: &GateSettings,
+    ) -> GateVerdict {
+        if rollout.state != RolloutState::Running {
+            return GateVerdict::Wait;
+        }
+        let due = wall.since(Millis(rollout.step_at_ms)) >= rollout.spec.step_ms;
+        if rollout.spec.gate == Gate::Fixed {
+            return if due {
+                GateVerdict::Advance
+            } else {
+                GateVerdict::Wait
+            };
+        }
+        if self.evidence >= (1.0 / settings.false_halt).ln() {
+            return GateVerdict::Halt;
+        }
+        let heard = self
+            .last_rating
+            .is_some_and(|at| now.since(at) < settings.rater_silence_ms);
+        if due && heard && self.new_seen >= settings.least_outcomes {
+            GateVerdict::Advance
+        } else {
+            GateVerdict::Wait
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/runners.rs
@@ -0,0 +1,411 @@
+//! The endpoints that an entry can send to, and the choice among them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use clock::Millis;
+use displaydoc::Display;
+use rand::{Rng, RngExt};
+
+/// Failures in a row that eject a runner.
+const EJECT_FAILURES: u32 = 3;
+
+/// First ejection, ms; each further one doubles it.
+const EJECT_MS: u64 = 1_000;
+
+/// Longest ejection, ms.
+const EJECT_MAX_MS: u64 = 30_000;
+
+/// Share of candidates, percent, below which ejections are ignored: if most
+/// look bad, the fault is elsewhere.
+const PANIC_PERCENT: usize = 50;
+
+/// Time over which a new runner is charged extra, so that it is not flooded
+/// before its first report, ms.
+const SLOW_START_MS: u64 = 3_000;
+
+/// Expected service time of an attempt until one was seen, ms.
+const SERVICE_MS: f64 = 500.0;
+
+/// Weight of the newest sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Extra time to another room of the region, ms.
+const OTHER_ROOM_MS: f64 = 2.0;
+
+/// Extra time to another region, ms.
+const OTHER_REGION_MS: f64 = 25.0;
+
+/// A runner is known by the address of its agent.
+pub type RunnerKey = SocketAddr;
+
+/// Where a process stands.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Locality {
+    /// Failure domain.
+    pub room: String,
+    /// Region.
+    pub region: String,
+}
+
+/// What an agent's heartbeat said.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Instance id of the agent.
+    pub instance: String,
+    /// Where it stands.
+    pub locality: Locality,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Plain service behind it, or empty.
+    pub service: String,
+    /// Loaded versions, as `model@version`.
+    pub versions: BTreeSet<String>,
+    /// Attempts under way.
+    pub running: u32,
+    /// Attempts that wait.
+    pub queued: u32,
+    /// Attempts run at once.
+    pub slots: u32,
+}
+
+/// How an attempt on a runner went.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It gave a whole answer after this time, ms.
+    Good {
+        /// Time from dispatch to the end, ms.
+        took_ms: u64,
+    },
+    /// It failed or fell silent.
+    Bad,
+    /// It ended for no fault of the runner's.
+    Neutral,
+}
+
+/// A runner as this entry sees it.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// What it last said.
+    pub report: Report,
+    /// When it said so.
+    pub heard_at: Millis,
+    /// When it was first heard.
+    pub known_since: Millis,
+    /// Attempts that this entry has on it.
+    pub inflight: u32,
+    /// Attempts that this entry sent or took back since the report.
+    sent_since: i64,
+    service_ms: f64,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Millis,
+}
+
+/// What is looked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Target<'a> {
+    /// An engine that has loaded this `model@version`.
+    Version(&'a str),
+    /// The plain service of this name.
+    Service(&'a str),
+}
+
+/// How a runner is chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Balance {
+    /// The better of two by predicted time to the first token.
+    #[default]
+    Predicted,
+    /// The better of two by reported load.
+    TwoChoice,
+    /// Each in turn.
+    RoundRobin,
+}
+
+impl Balance {
+    /// The balance of a settings value.
+    pub fn from_setting(text: &str) -> Self {
+        match text {
+            "two_choice" => Balance::TwoChoice,
+            "round_robin" => Balance::RoundRobin,
+            _ => Balance::Predicted,
+        }
+    }
+}
+
+/// What the choice goes by.
+#[derive(Clone, Debug, Default)]
+pub struct PickSettings {
+    /// How a runner is chosen.
+    pub balance: Balance,
+    /// Where this entry stands.
+    pub here: Locality,
+    /// Silence after which a runner is not chosen, ms.
+    pub silence_ms: u64,
+}
+
+/// No runner can take the work now.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum NoRunner {
+    /// no endpoint has this version loaded; ask an operator to load it, or come back later
+    NoneLoaded,
+    /// the endpoints that have it are leaving or silent; come back shortly
+    NoneReachable,
+}
+
+impl std::error::Error for NoRunner {}
+
+/// All runners that an entry knows.
+#[derive(Clone, Debug, Default)]
+pub struct Runners {
+    table: BTreeMap<RunnerKey, Runner>,
+    turn: usize,
+}
+
+impl Runners {
+    /// Takes a heartbeat.  An instance that was replaced starts afresh.
+    pub fn heard(&mut self, key: RunnerKey, report: Report, now: Millis) {
+        let same = self
+            .table
+            .get(&key)
+            .is_some_and(|runner| runner.report.instance == report.instance);
+        if !same {
+            self.table.insert(key, Runner::new(report, now));
+            return;
+        }
+        if let Some(runner) = self.table.get_mut(&key) {
+            runner.report = report;
+            runner.heard_at = now;
+            runner.sent_since = 0;
+        }
+    }
+
+    /// Notes that a runner said it leaves, before its next heartbeat.
+    pub fn leaving(&mut self, key: RunnerKey) {
+        if let Some(runner) = self.table.get_mut(&key) {
+            runner.report.leaving = true;
+        }
+    }
+
+    /// Forgets a runner that the platform no longer lists.
+    pub fn remove(&mut self, key: RunnerKey) {
+        self.table.remove(&key);
+    }
+
+    /// A runner.
+    pub fn get(&self, key: RunnerKey) -> Option<&Runner> {
+        self.table.get(&key)
+    }
+
+    /// All runners.
+    pub fn iter(&self) -> impl Iterator<Item = (&RunnerKey, &Runner)> {
+        self.table.iter()
+    }
+
+    /// Slots and attempts in use of the runners that fit a target.
+    pub fn capacity(
+        &self,
+        target: Target<'_>,
+        now: Millis,
+        silence_ms: u64,
+    ) -> (u32, u32) {
+        let fitting = self
+            .table
+            .values()
+            .filter(|runner| runner.fits(target) && runner.takes_work(now, silence_ms));
+        fitting.fold((0, 0), |(slots, used), runner| {
+            (slots + runner.report.slots, used + runner.load() as u32)
+        })
+    }
+
+    /// Chooses a runner, leaving out those tried before.
+    pub fn pick<R>(
+        &mut self,
+        target: Target<'_>,
+        tried: &[RunnerKey],
+        settings: &PickSettings,
+        now: Millis,
+        rng: &mut R,
+    ) -> Result<RunnerKey, NoRunner>
+    where
+        R: Rng,
+    {
+        let fitting: Vec<RunnerKey> = self
+            .table
+            .iter()
+            .filter(|(_, runner)| runner.fits(target))
+            .map(|(key, _)| *key)
+            .collect();
+        if fitting.is_empty() {
+            return Err(NoRunner::NoneLoaded);
+        }
+        let reachable: Vec<RunnerKey> = fitting
+            .into_iter()
+            .filter(|key| self.table[key].takes_work(now, settings.silence_ms))
+            .collect();
+        let untried: Vec<RunnerKey> = reachable
+            .iter()
+            .filter(|key| !tried.contains(key))
+            .copied()
+            .collect();
+        let pool = if untried.is_empty() {
+            reachable
+        } else {
+            untried
+        };
+        let pool = self.without_ejected(pool, now);
+        match pool.len() {
+            0 => Err(NoRunner::NoneReachable),
+            1 => Ok(pool[0]),
+            len => Ok(self.choose(&pool, len, settings, now, rng)),
+        }
+    }
+
+    fn without_ejected(&self, pool: Vec<RunnerKey>, now: Millis) -> Vec<RunnerKey> {
+        let healthy: Vec<RunnerKey> = pool
+            .iter()
+            .filter(|key| self.table[key].ejected_until <= now)
+            .copied()
+            .collect();
+        let enough = healthy.len() * 100 >= pool.len() * PANIC_PERCENT;
+        if enough && !healthy.is_empty() {
+            healthy
+        } else {
+            pool
+        }
+    }
+
+    fn choose<R>(
+        &mut self,
+        pool: &[RunnerKey],
+        len: usize,
+        settings: &PickSettings,
+        now: Millis,
+        rng: &mut R,
+    ) -> RunnerKey
+    where
+        R: Rng,
+    {
+        if settings.balance == Balance::RoundRobin {
+            self.turn = self.turn.wrapping_add(1);
+            return pool[self.turn % len];
+        }
+        let first = rng.random_range(0..len);
+        let second = (first + rng.random_range(1..len)) % len;
+        let cost = |key: &RunnerKey| self.table[key].cost(settings, now);
+        if cost(&pool[second]) < cost(&pool[first]) {
+            pool[second]
+        } else {
+            pool[first]
+        }
+    }
+
+    /// Counts an attempt sent to a runner.
+    pub fn sent(&mut self, key: RunnerKey) {
+        if let Some(runner) = self.table.get_mut(&key) {
+            runner.inflight += 1;
+            runner.sent_since += 1;
+        }
+    }
+
+    /// Counts an attempt's end.
+    pub fn ended(&mut self, key: RunnerKey, outcome: Outcome, now: Millis) {
+        let Some(runner) = self.table.get_mut(&key) else {
+            return;
+        };
+        runner.inflight = runner.inflight.saturating_sub(1);
+        runner.sent_since -= 1;
+        match outcome {
+            Outcome::Good { took_ms } => {
+                runner.failures = 0;
+                runner.ejections = 0;
+                let sample = took_ms as f64;
+                runner.service_ms += SAMPLE_WEIGHT * (sample - runner.service_ms);
+            }
+            Outcome::Bad => runner.fail(now),
+            Outcome::Neutral => {}
+        }
+    }
+}
+
+impl Runner {
+    fn new(report: Report, now: Millis) -> Self {
+        Runner {
+            report,
+            heard_at: now,
+            known_since: now,
+            inflight: 0,
+            sent_since: 0,
+            service_ms: SERVICE_MS,
+            failures: 0,
+            ejections: 0,
+            ejected_until: Millis::default(),
+        }
+    }
+
+    fn fits(&self, target: Target<'_>) -> bool {
+        match target {
+            Target::Version(name) => self.report.versions.contains(name),
+            Target::Service(name) => self.report.service == name,
+        }
+    }
+
+    fn takes_work(&self, now: Millis, silence_ms: u64) -> bool {
+        !self.report.leaving && now.since(self.heard_at) <= silence_ms
+    }
+
+    /// Attempts on it: the report, corrected by what this entry did since,
+    /// and never less than this entry's own.
+    fn load(&self) -> f64 {
+        let reported = i64::from(self.report.running) + i64::from(self.report.queued);
+        let corrected = (reported + self.sent_since).max(i64::from(self.inflight));
+        corrected.max(0) as f64
+    }
+
+    fn cost(&self, settings: &PickSettings, now: Millis) -> f64 {
+        let slots = f64::from(self.report.slots.max(1));
+        if settings.balance == Balance::TwoChoice {
+            let reported = f64::from(self.report.running + self.report.queued);
+            return reported / slots;
+        }
+        let load = self.load();
+        let waiting = (load + 1.0 - slots).max(0.0);
+        let wait_ms = waiting / slots * self.service_ms;
+        // Below saturation an emptier engine still generates a little faster.
+        let crowd_ms = load / slots * self.service_ms * 0.1;
+        wait_ms + crowd_ms + self.distance_ms(settings) + self.slow_start_ms(now)
+    }
+
+    fn distance_ms(&self, settings: &PickSettings) -> f64 {
+        if self.report.locality.region != settings.here.region {
+            OTHER_REGION_MS
+        } else if self.report.locality.room != settings.here.room {
+            OTHER_ROOM_MS
+        } else {
+            0.0
+        }
+    }
+
+    fn slow_start_ms(&self, now: Millis) -> f64 {
+        let known_ms = now.since(self.known_since);
+        if known_ms >= SLOW_START_MS {
+            return 0.0;
+        }
+        let left = (SLOW_START_MS - known_ms) as f64 / SLOW_START_MS as f64;
+        left * self.load() * self.service_ms
+    }
+
+    fn fail(&mut self, now: Millis) {
+        self.failures += 1;
+        if self.failures < EJECT_FAILURES {
+            return;
+        }
+        let span_ms = EJECT_MS << self.ejections.min(5);
+        self.ejected_until = now.plus(span_ms.min(EJECT_MAX_MS));
+        self.ejections += 1;
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/route/src/version.rs
@@ -0,0 +1,188 @@
+//! Which version serves a request.
+
+use config::{Config, VersionState};
+use displaydoc::Display;
+use sha2::{Digest, Sha256};
+
+/// Shares are counted in ten-thousandths.
+const SHARE_PARTS: u64 = 10_000;
+
+/// What the caller named in the `model` field.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Wanted<'a> {
+    /// A model, at whatever version serves.
+    Model(&'a str),
+    /// A version of a model.
+    Pinned(&'a str, &'a str),
+    /// A cascade.
+    Cascade(&'a str),
+}
+
+/// What is known of the request's session.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Session<'a> {
+    /// Name, if the caller gave one; requests without are spread by id.
+    pub name: &'a str,
+    /// Version the session started on, from its ticket or binding.
+    pub started_on: Option<&'a str>,
+}
+
+/// The version that serves.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Version of the model.
+    pub version: String,
+    /// Whether the session started on it before.
+    pub continues: bool,
+}
+
+/// Why no version serves a request.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum RouteError {
+    /// no model or cascade is named {0:?}; see `ctl list model`
+    UnknownModel(String),
+    /// the team may not use {0}; ask an operator to allow it
+    NotAllowed(String),
+    /// version {0} is withdrawn; start a new session
+    Withdrawn(String),
+    /// version {0} takes sessions under way only; start the session on another
+    Retiring(String),
+    /// version {0} does not exist; see `ctl list version`
+    UnknownVersion(String),
+    /// model {0} has no version that serves; ask an operator to set one
+    NoVersion(String),
+}
+
+impl std::error::Error for RouteError {}
+
+impl RouteError {
+    /// Stable code for callers.
+    pub fn code(&self) -> &'static str {
+        match self {
+            RouteError::UnknownModel(_) => "unknown_model",
+            RouteError::NotAllowed(_) => "not_allowed",
+            RouteError::Withdrawn(_) => "version_withdrawn",
+            RouteError::Retiring(_) => "version_retiring",
+            RouteError::UnknownVersion(_) => "unknown_version",
+            RouteError::NoVersion(_) => "no_version",
+        }
+    }
+}
+
+/// Reads the `model` field of a request.
+pub fn parse_wanted<'a>(
+    config: &Config,
+    model: &'a str,
+) -> Result<Wanted<'a>, RouteError> {
+    if let Some((model, version)) = model.split_once('@') {
+        return Ok(Wanted::Pinned(model, version));
+    }
+    if config.cascades.contains_key(model) {
+        return Ok(Wanted::Cascade(model));
+    }
+    if config.models.contains_key(model) {
+        return Ok(Wanted::Model(model));
+    }
+    Err(RouteError::UnknownModel(model.to_owned()))
+}
+
+/// Chooses the version of `model` for a request.
+///
+/// A session that started on a version gets that version or a typed refusal,
+/// never another.  New sessions go by the roll-out's share, by a hash of team
+/// and name, so that all entries at one configuration choose alike.
+pub fn choose_version(
+    config: &Config,
+    team: &str,
+    model: &str,
+    pinned: Option<&str>,
+    session: Session<'_>,
+    request_id: &str,
+) -> Result<Choice, RouteError> {
+    if let Some(version) = session.started_on {
+        check(config, team, model, version, true)?;
+        return Ok(Choice {
+            version: version.to_owned(),
+            continues: true,
+        });
+    }
+    if let Some(version) = pinned {
+        check(config, team, model, version, false)?;
+        return Ok(Choice {
+            version: version.to_owned(),
+            continues: false,
+        });
+    }
+    let entity = config.models.get(model);
+    let entity = entity.ok_or_else(|| RouteError::UnknownModel(model.to_owned()))?;
+    let spread_by = if session.name.is_empty() {
+        request_id
+    } else {
+        session.name
+    };
+    let candidate = rollout_version(config, team, model, spread_by);
+    let serving = entity.value.serving.as_str();
+    if let Some(candidate) = candidate
+        && check(config, team, model, candidate, false).is_ok()
+    {
+        return Ok(Choice {
+            version: candidate.to_owned(),
+            continues: false,
+        });
+    }
+    if serving.is_empty() {
+        return Err(RouteError::NoVersion(model.to_owned()));
+    }
+    check(config, team, model, serving, false)?;
+    Ok(Choice {
+        version: serving.to_owned(),
+        continues: false,
+    })
+}
+
+/// The version under roll-out, if the name's hash falls into its share.
+fn rollout_version<'a>(
+    config: &'a Config,
+    team: &str,
+    model: &str,
+    spread_by: &str,
+) -> Option<&'a str> {
+    let rollout = &config.rollouts.get(model)?.value;
+    if !rollout.is_open() {
+        return None;
+    }
+    let share = u64::from(rollout.percent()) * SHARE_PARTS / 100;
+    let part = spread(&[team, model, &rollout.spec.to, spread_by]) % SHARE_PARTS;
+    (part < share).then_some(rollout.spec.to.as_str())
+}
+
+fn spread(parts: &[&str]) -> u64 {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    let digest = hash.finalize();
+    let mut head = [0; 8];
+    head.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(head)
+}
+
+fn check(
+    config: &Config,
+    team: &str,
+    model: &str,
+    version: &str,
+    continues: bool,
+) -> Result<(), RouteError> {
+    let name = || format!("{model}@{version}");
+    if !config.permits(team, model, version) {
+        return Err(RouteError::NotAllowed(name()));
+    }
+    match config.version_state(model, version) {
+        None => Err(RouteError::UnknownVersion(name())),
+        Some(VersionState::Withdrawn) => Err(RouteError::Withdrawn(name())),
+        Some(VersionState::Retiring) if !continues => Err(RouteError::Retiring(name())),
+        Some(VersionState::Retiring | VersionState::Serving) => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/keys.rs
@@ -0,0 +1,450 @@
+//! The table of all keys.
+
+use std::fmt::Write;
+
+/// What a key's value looks like.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// Any text.
+    Text,
+    /// A name of letters, digits, '.', '_' and '-'.
+    Name,
+    /// An IP address and port.
+    Address,
+    /// IP addresses and ports, comma-separated.
+    Addresses,
+    /// A whole number within a range.
+    Number {
+        /// Least value.
+        min: u64,
+        /// Greatest value.
+        max: u64,
+    },
+    /// One of some words.
+    Choice(&'static [&'static str]),
+}
+
+/// One key: its place, its default, its range and what it is for.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyDef {
+    /// Section of the file.
+    pub section: &'static str,
+    /// Key in the section; its suffix names the unit.
+    pub key: &'static str,
+    /// Value where the file says nothing; empty for none.
+    pub default: &'static str,
+    /// What it may be.
+    pub kind: Kind,
+    /// What it is for.
+    pub doc: &'static str,
+}
+
+const fn key(
+    section: &'static str,
+    key: &'static str,
+    default: &'static str,
+    kind: Kind,
+    doc: &'static str,
+) -> KeyDef {
+    KeyDef {
+        section,
+        key,
+        default,
+        kind,
+        doc,
+    }
+}
+
+const fn number(min: u64, max: u64) -> Kind {
+    Kind::Number { min, max }
+}
+
+const LEVELS: Kind = Kind::Choice(&["error", "warn", "info", "debug", "trace"]);
+
+/// Every key that a settings file may hold.
+pub const KEYS: &[KeyDef] = &[
+    key(
+        "process",
+        "instance",
+        "",
+        Kind::Text,
+        "Id of this instance; a fresh one at each start if empty.",
+    ),
+    key(
+        "process",
+        "room",
+        "",
+        Kind::Name,
+        "Failure domain of this instance; required.",
+    ),
+    key(
+        "process",
+        "region",
+        "default",
+        Kind::Name,
+        "Region of this instance.",
+    ),
+    key(
+        "process",
+        "secrets_file",
+        "",
+        Kind::Text,
+        "File with the ticket keys, the peer key and the operators' token digests, mode 600.",
+    ),
+    key(
+        "process",
+        "drain_timeout_ms",
+        "900000",
+        number(1_000, 86_400_000),
+        "Longest wait for work in progress at a planned stop.",
+    ),
+    key(
+        "process",
+        "objective",
+        "exposure",
+        Kind::Choice(&["exposure", "latency"]),
+        "What weighs most: exposure to bad versions, or latency.",
+    ),
+    key("log", "level", "info", LEVELS, "Least level of log lines."),
+    key(
+        "metrics",
+        "address",
+        "",
+        Kind::Address,
+        "StatsD receiver; metrics are dropped if empty.",
+    ),
+    key(
+        "store",
+        "address",
+        "127.0.0.1:7400",
+        Kind::Address,
+        "The platform's append-only log.",
+    ),
+    key(
+        "store",
+        "live_address",
+        "",
+        Kind::Address,
+        "The platform's live list; the log's address if empty.",
+    ),
+    key(
+        "store",
+        "timeout_ms",
+        "2000",
+        number(50, 60_000),
+        "Longest wait for an answer of the log.",
+    ),
+    key(
+        "store",
+        "poll_wait_ms",
+        "1000",
+        number(10, 30_000),
+        "How long a read waits at the log's end for a record.",
+    ),
+    key(
+        "store",
+        "retention_ms",
+        "172800000",
+        number(60_000, 31_536_000_000),
+        "How long the log keeps records.",
+    ),
+    key(
+        "store",
+        "snapshot_records",
+        "2000",
+        number(10, 1_000_000),
+        "Records after which the configuration is appended as a snapshot.",
+    ),
+    key(
+        "store",
+        "claim_window_ms",
+        "86400000",
+        number(60_000, 31_536_000_000),
+        "How long a key of non-idempotent work is remembered.",
+    ),
+    key(
+        "store",
+        "claim_partitions",
+        "8",
+        number(1, 1_024),
+        "Streams that claims are spread over; the same on all instances.",
+    ),
+    key(
+        "store",
+        "append_interval_ms",
+        "20",
+        number(1, 10_000),
+        "How long claims and bills gather before an append.",
+    ),
+    key(
+        "store",
+        "stale_after_ms",
+        "10000",
+        number(1_000, 600_000),
+        "Age of the last news of the log, own or by peers, at which an instance takes no new work.",
+    ),
+    key(
+        "store",
+        "outage",
+        "serve",
+        Kind::Choice(&["serve", "refuse"]),
+        "What happens while most rooms agree that the log is down.",
+    ),
+    key(
+        "store",
+        "known_rooms",
+        "1",
+        number(1, 64),
+        "How many rooms there are; most of them must agree that the log is down.",
+    ),
+    key(
+        "peers",
+        "addresses",
+        "",
+        Kind::Addresses,
+        "Addresses of entries and agents to ask for the configuration at start.",
+    ),
+    key(
+        "entry",
+        "listen",
+        "127.0.0.1:7000",
+        Kind::Address,
+        "Where callers connect.",
+    ),
+    key(
+        "entry",
+        "admin_listen",
+        "127.0.0.1:7001",
+        Kind::Address,
+        "Where operators connect.",
+    ),
+    key(
+        "entry",
+        "peer_listen",
+        "127.0.0.1:7002",
+        Kind::Address,
+        "Where other processes of the system connect.",
+    ),
+    key(
+        "entry",
+        "deadline_ms",
+        "60000",
+        number(100, 3_600_000),
+        "Deadline of a request that names none.",
+    ),
+    key(
+        "entry",
+        "deadline_max_ms",
+        "900000",
+        number(100, 86_400_000),
+        "Longest deadline that a caller may name.",
+    ),
+    key(
+        "entry",
+        "body_max_bytes",
+        "1048576",
+        number(1_024, 268_435_456),
+        "Largest request body.",
+    ),
+    key(
+        "entry",
+        "body_timeout_ms",
+        "10000",
+        number(100, 600_000),
+        "Longest wait for a request's body.",
+    ),
+    key(
+        "entry",
+        "headers_max",
+        "64",
+        number(8, 1_024),
+        "Headers of a request.",
+    ),
+    key(
+        "entry",
+        "streams_max",
+        "4096",
+        number(1, 1_000_000),
+        "Requests in progress at once.",
+    ),
+    key(
+        "entry",
+        "heartbeat_ms",
+        "500",
+        number(20, 60_000),
+        "Time between heartbeats to an agent.",
+    ),
+    key(
+        "entry",
+        "silence_ms",
+        "2000",
+        number(50, 600_000),
+        "Silence after which a connection is given up.",
+    ),
+    key(
+        "entry",
+        "stall_ms",
+        "10000",
+        number(100, 600_000),
+        "Time without a token after which an attempt goes on elsewhere.",
+    ),
+    key(
+        "entry",
+        "attempts_max",
+        "3",
+        number(1, 10),
+        "Attempts of idempotent work.",
+    ),
+    key(
+        "entry",
+        "retry_percent",
+        "10",
+        number(0, 100),
+        "Retries allowed, as a share of first attempts.",
+    ),
+    key(
+        "entry",
+        "balance",
+        "predicted",
+        Kind::Choice(&["predicted", "two_choice", "round_robin"]),
+        "How a runner is chosen.",
+    ),
+    key(
+        "entry",
+        "cascade",
+        "learned",
+        Kind::Choice(&["learned", "always", "dearest"]),
+        "Whether the cheap steps of a cascade are tried.",
+    ),
+    key(
+        "entry",
+        "rater_address",
+        "",
+        Kind::Address,
+        "The platform's rating service; cascades go to their last step if empty.",
+    ),
+    key(
+        "entry",
+        "rater_timeout_ms",
+        "500",
+        number(10, 60_000),
+        "Longest wait for a rating.",
+    ),
+    key(
+        "entry",
+        "bills_max",
+        "200000",
+        number(100, 10_000_000),
+        "Bills held while the log is down; no new work beyond.",
+    ),
+    key(
+        "entry",
+        "bill_handover_ms",
+        "5000",
+        number(100, 600_000),
+        "Time after which a holder appends another's bill.",
+    ),
+    key(
+        "agent",
+        "listen",
+        "127.0.0.1:7100",
+        Kind::Address,
+        "Where entries connect.",
+    ),
+    key(
+        "agent",
+        "endpoint",
+        "",
+        Kind::Name,
+        "Name of the endpoint beside this agent; required.",
+    ),
+    key(
+        "agent",
+        "endpoint_address",
+        "127.0.0.1:7200",
+        Kind::Address,
+        "Where the endpoint listens.",
+    ),
+    key(
+        "agent",
+        "service",
+        "",
+        Kind::Text,
+        "Plain service behind the endpoint; empty for a model engine.",
+    ),
+    key(
+        "agent",
+        "checks_fencing",
+        "yes",
+        Kind::Choice(&["yes", "no"]),
+        "Whether the engine refuses orders with an old fencing number.",
+    ),
+    key(
+        "agent",
+        "attempts_max",
+        "512",
+        number(1, 100_000),
+        "Attempts in progress at once.",
+    ),
+    key(
+        "agent",
+        "bills_max",
+        "200000",
+        number(100, 10_000_000),
+        "Bills held for entries while the log is down.",
+    ),
+    key(
+        "agent",
+        "remember_ms",
+        "300000",
+        number(1_000, 86_400_000),
+        "How long ended attempts and tombstones are remembered.",
+    ),
+    key(
+        "agent",
+        "start_within_ms",
+        "2000",
+        number(10, 60_000),
+        "Age of a won claim beyond which its call is not started.",
+    ),
+];
+
+/// The reference page of all keys, in Markdown.
+pub fn reference() -> String {
+    let mut page = String::from("# Settings\n\nMade by `currantbank check --keys`.\n");
+    let mut section = "";
+    for def in KEYS {
+        if def.section != section {
+            section = def.section;
+            let _ = write!(
+                page,
+                "\n## [{section}]\n\n| key | default | range | meaning |\n|---|---|---|---|\n"
+            );
+        }
+        let default = if def.default.is_empty() {
+            "none"
+        } else {
+            def.default
+        };
+        let _ = writeln!(
+            page,
+            "| `{}` | {default} | {} | {} |",
+            def.key,
+            describe(def.kind),
+            def.doc
+        );
+    }
+    page
+}
+
+/// What a value must look like, in words.
+pub(crate) fn describe(kind: Kind) -> String {
+    match kind {
+        Kind::Text => "any text".into(),
+        Kind::Name => "a name of letters, digits, '.', '_' and '-'".into(),
+        Kind::Address => "an IP address and port".into(),
+        Kind::Addresses => "IP addresses and ports, comma-separated".into(),
+        Kind::Number { min, max } => format!("a whole number from {min} to {max}"),
+        Kind::Choice(words) => format!("one of {}", words.join(", ")),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,20 @@
+//! Small stand-ins of the platform's services, for tests and the local run.
+//!
+//! Each has behaviour enough for the failures that the system is meant for,
+//! and nothing more: it can be slowed, stopped, frozen, or made to lose an
+//! answer after the call took effect.  No product crate depends on this one.
+
+mod engine;
+mod http;
+mod live;
+mod logsvc;
+mod plain;
+mod rater;
+mod relay;
+
+pub use engine::{Engine, EngineModel, EngineState};
+pub use live::LiveService;
+pub use logsvc::{LogFaults, LogService};
+pub use plain::{PlainFaults, PlainService};
+pub use rater::RaterService;
+pub use relay::{Relay, RelayMode};
--- /dev/null
+++ b/crates/standin/src/rater.rs
@@ -0,0 +1,95 @@
+//! The service that rates answers.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use volo_http::{body::BodyConversion, request::Request, response::Response};
+
+use crate::http::{any_port, empty, json, serve};
+
+/// Rating of an answer that a bad version gave.
+const BAD_RATING: f64 = 0.1;
+
+/// Rating of a small model's answer to a hard prompt.
+const WEAK_RATING: f64 = 0.3;
+
+/// Rating of any other answer.
+const GOOD_RATING: f64 = 0.9;
+
+#[derive(Debug, Default)]
+struct State {
+    silent: AtomicBool,
+    delay_ms: AtomicU64,
+}
+
+/// A rater in this process.
+///
+/// It finds an answer bad that says so, and an answer of a model named
+/// `small...` weak if the prompt says that it is hard.
+#[derive(Clone, Debug)]
+pub struct RaterService {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+#[derive(Deserialize)]
+struct RateBody {
+    model: String,
+    prompt: String,
+    answer: String,
+}
+
+#[derive(Serialize)]
+struct RatedBody {
+    rating: f64,
+}
+
+impl RaterService {
+    /// Starts it.
+    pub async fn start() -> RaterService {
+        let state: Arc<State> = Arc::default();
+        let served = state.clone();
+        let handler = move |request: Request| handle(served, request);
+        let address = serve(any_port(), handler).await;
+        RaterService { address, state }
+    }
+
+    /// Stops or resumes answering.
+    pub fn set_silent(&self, silent: bool) {
+        self.state.silent.store(silent, Ordering::Relaxed);
+    }
+
+    /// Sets the time that a rating takes.
+    pub fn set_delay_ms(&self, delay_ms: u64) {
+        self.state.delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+}
+
+async fn handle(state: Arc<State>, request: Request) -> Response {
+    if state.silent.load(Ordering::Relaxed) {
+        std::future::pending::<()>().await;
+    }
+    let delay_ms = state.delay_ms.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    let body = request.into_body().into_vec().await.unwrap_or_default();
+    let Ok(rate) = serde_json::from_slice::<RateBody>(&body) else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    let rating = if rate.answer.contains("bad") {
+        BAD_RATING
+    } else if rate.model.starts_with("small") && rate.prompt.contains("hard") {
+        WEAK_RATING
+    } else {
+        GOOD_RATING
+    };
+    json(StatusCode::OK, &RatedBody { rating })
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,20 @@
+//! Client of the platform's append-only log and live list.
+//!
+//! The platform speaks HTTP and JSON; see `docs/design/platform.md` for the
+//! calls.  An append whose answer is lost may have taken effect, which the
+//! client tells apart from one that was refused: see [`StoreError::is_unknown`].
+
+mod client;
+mod error;
+mod follow;
+mod live;
+mod view;
+
+pub use client::{Page, Record, Store};
+pub use error::StoreError;
+pub use follow::{CONFIG_STREAM, claim_stream, follow, follow_config};
+pub use live::{Instance, InstanceState, LiveList, Role};
+pub use view::{ConfigView, Health};
+
+/// Stream that bills are appended to.
+pub const BILL_STREAM: &str = "bills";
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,20 @@
+//! Structured logs and metrics.
+//!
+//! One line an event, `key=value` pairs, through `log` and `fern`; counters
+//! and timings through `cadence` to a StatsD address.  See
+//! `docs/METRICS.md`.
+//!
+//! ```
+//! use telemetry::Event;
+//!
+//! let line = Event::new("dispatch").with("request", "r1").with("why", "a b");
+//! assert_eq!(line.to_string(), "event=dispatch request=r1 why=\"a b\"");
+//! ```
+
+mod event;
+mod logger;
+mod metrics;
+
+pub use event::Event;
+pub use logger::{LogError, init};
+pub use metrics::{METRICS, MetricDef, Metrics, MetricsError};
--- /dev/null
+++ b/crates/wire/src/serve.rs
@@ -0,0 +1,219 @@
+//! The serving side of the calls.
+
+use std::rc::Rc;
+
+use capnp::Error;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures::AsyncReadExt;
+use log::debug;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::{
+    AttemptId, AttemptState, Dispatch, Frame, Hello, Verdict, convert, wire_capnp,
+};
+
+/// What any process answers to its peers.
+#[allow(async_fn_in_trait)]
+pub trait PeerHandler {
+    /// Takes a heartbeat and returns one.
+    async fn hello(&self, from: Hello) -> Hello;
+    /// The whole configuration and its offset, if it is newer than `have`.
+    async fn fetch_config(&self, have: u64) -> Option<(u64, String)>;
+    /// Holds copies of an owner's bills, JSON; an error if there is no room.
+    async fn hold_bills(&self, owner: String, bills: String) -> Result<(), String>;
+    /// Drops copies whose bills stand on the log.
+    async fn release_bills(&self, owner: String, request_ids: Vec<String>);
+}
+
+/// What an agent answers to entries besides.
+#[allow(async_fn_in_trait)]
+pub trait AgentHandler: PeerHandler {
+    /// Takes or refuses an attempt; its frames go to `sink`.
+    async fn dispatch(&self, dispatch: Dispatch, sink: FrameSink) -> Verdict;
+    /// Stops an attempt.
+    async fn cancel(&self, id: AttemptId) -> AttemptState;
+    /// Tells an attempt's state, and refuses an unseen one for good if asked.
+    async fn query(&self, id: AttemptId, tombstone: bool) -> AttemptState;
+    /// Forgets usage whose bill another process answers for.
+    async fn settle(&self, request_ids: Vec<String>);
+}
+
+/// The entry at the other end is gone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SinkGone;
+
+/// Where an agent pushes an attempt's frames.
+#[derive(Clone)]
+pub struct FrameSink {
+    client: wire_capnp::sink::Client,
+}
+
+impl FrameSink {
+    /// Sends a frame and waits until the entry took it.
+    pub async fn push(&self, frame: &Frame) -> Result<(), SinkGone> {
+        let mut request = self.client.push_request();
+        convert::write_frame(frame, request.get().init_frame());
+        request.send().promise.await.map_err(|_| SinkGone)?;
+        Ok(())
+    }
+}
+
+struct Served<H>(Rc<H>);
+
+impl<H> wire_capnp::peer::Server for Served<H>
+where
+    H: PeerHandler + 'static,
+{
+    async fn hello(
+        self: Rc<Self>,
+        params: wire_capnp::peer::HelloParams,
+        mut results: wire_capnp::peer::HelloResults,
+    ) -> Result<(), Error> {
+        let from = convert::read_hello(params.get()?.get_from()?)?;
+        let reply = self.0.hello(from).await;
+        convert::write_hello(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn fetch_config(
+        self: Rc<Self>,
+        params: wire_capnp::peer::FetchConfigParams,
+        mut results: wire_capnp::peer::FetchConfigResults,
+    ) -> Result<(), Error> {
+        let found = self.0.fetch_config(params.get()?.get_have()).await;
+        if let Some((offset, body)) = found {
+            results.get().set_offset(offset);
+            results.get().set_body(&body);
+        }
+        Ok(())
+    }
+
+    async fn hold_bills(
+        self: Rc<Self>,
+        params: wire_capnp::peer::HoldBillsParams,
+        _results: wire_capnp::peer::HoldBillsResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let owner = params.get_owner()?.to_string()?;
+        let bills = params.get_bills()?.to_string()?;
+        self.0
+            .hold_bills(owner, bills)
+            .await
+            .map_err(Error::overloaded)
+    }
+
+    async fn release_bills(
+        self: Rc<Self>,
+        params: wire_capnp::peer::ReleaseBillsParams,
+        _results: wire_capnp::peer::ReleaseBillsResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let owner = params.get_owner()?.to_string()?;
+        let request_ids = convert::texts(params.get_ids()?)?;
+        self.0.release_bills(owner, request_ids).await;
+        Ok(())
+    }
+}
+
+impl<H> wire_capnp::agent::Server for Served<H>
+where
+    H: AgentHandler + 'static,
+{
+    async fn dispatch(
+        self: Rc<Self>,
+        params: wire_capnp::agent::DispatchParams,
+        mut results: wire_capnp::agent::DispatchResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let dispatch = convert::read_dispatch(params.get_request()?)?;
+        let sink = FrameSink {
+            client: params.get_sink()?,
+        };
+        let verdict = self.0.dispatch(dispatch, sink).await;
+        convert::write_verdict(&verdict, results.get().init_verdict());
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: wire_capnp::agent::CancelParams,
+        mut results: wire_capnp::agent::CancelResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let id = AttemptId {
+            request_id: params.get_request_id()?.to_string()?,
+            attempt: params.get_attempt(),
+        };
+        let state = self.0.cancel(id).await;
+        convert::write_state(&state, results.get().init_state());
+        Ok(())
+    }
+
+    async fn query(
+        self: Rc<Self>,
+        params: wire_capnp::agent::QueryParams,
+        mut results: wire_capnp::agent::QueryResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let id = AttemptId {
+            request_id: params.get_request_id()?.to_string()?,
+            attempt: params.get_attempt(),
+        };
+        let state = self.0.query(id, params.get_tombstone()).await;
+        convert::write_state(&state, results.get().init_state());
+        Ok(())
+    }
+
+    async fn settle(
+        self: Rc<Self>,
+        params: wire_capnp::agent::SettleParams,
+        _results: wire_capnp::agent::SettleResults,
+    ) -> Result<(), Error> {
+        let request_ids = convert::texts(params.get()?.get_request_ids()?)?;
+        self.0.settle(request_ids).await;
+        Ok(())
+    }
+}
+
+/// Serves an agent's calls on `listener`; runs within a `LocalSet`.
+pub async fn serve_agent<H>(listener: TcpListener, handler: Rc<H>)
+where
+    H: AgentHandler + 'static,
+{
+    let client: wire_capnp::agent::Client = capnp_rpc::new_client(Served(handler));
+    accept(listener, client.client).await;
+}
+
+/// Serves the calls of any process on `listener`; runs within a `LocalSet`.
+pub async fn serve_peer<H>(listener: TcpListener, handler: Rc<H>)
+where
+    H: PeerHandler + 'static,
+{
+    let client: wire_capnp::peer::Client = capnp_rpc::new_client(Served(handler));
+    accept(listener, client.client).await;
+}
+
+async fn accept(listener: TcpListener, bootstrap: capnp::capability::Client) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_stream(stream, bootstrap.clone()));
+            }
+            Err(err) => {
+                debug!("event=accept_failed why={:?}", err.kind());
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_stream(stream: TcpStream, bootstrap: capnp::capability::Client) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.compat().split();
+    let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
+    let system = RpcSystem::new(Box::new(network), Some(bootstrap));
+    if let Err(err) = system.await {
+        debug!("event=connection_ended why={:?}", err.kind);
+    }
+}
--- /dev/null
+++ b/tests/util/mod.rs
@@ -0,0 +1,6 @@
+//! What the tests share.
+
+pub mod caller;
+pub mod process;
+pub mod script;
+pub mod world;
