Prove the always-hold points by scripts over real processes; mend seven faults

First reads no longer wait; an entry that has not read the bindings refuses sessions by name instead of choosing anew. - an entry's death after the last byte lost the bill: the agent's copy was settled when the request ended, not when the log had the bill. - a repeat right after a done answer heard "unknown": the end's record was on its way. A repeat now waits while the holder is heard, and gets the answer. - an attempt refused for good over a new connection was not tried again: the runner counted as silent although it had just answered. - one frozen agent silenced all: heartbeats went in rounds.

Ruled out: settling by time alone (a live owner may be slow); counting an unsolicited heartbeat's age with a guessed delay.

--- a/crates/admin/src/admin_gen.rs
+++ b/crates/admin/src/admin_gen.rs
@@ -217,6 +217,8 @@
                 pub heard_ms: u64,
 
                 pub log_age_ms: u64,
+
+                pub takes_work: bool,
             }
             impl ::pilota::pb::Message for Instance {
                 #[inline]
@@ -252,6 +254,11 @@
                             7,
                             &self.log_age_ms,
                         )
+                        + ::pilota::pb::encoding::bool::encoded_len(
+                            ctx,
+                            8,
+                            &self.takes_work,
+                        )
                 }
 
                 #[allow(unused_variables)]
@@ -263,6 +270,7 @@
                     ::pilota::pb::encoding::bool::encode(5, &self.leaving, buf);
                     ::pilota::pb::encoding::uint64::encode(6, &self.heard_ms, buf);
                     ::pilota::pb::encoding::uint64::encode(7, &self.log_age_ms, buf);
+                    ::pilota::pb::encoding::bool::encode(8, &self.takes_work, buf);
                 }
 
                 #[allow(unused_variables)]
@@ -369,6 +377,19 @@
                                 error
                             })
                         }
+                        8 => {
+                            let mut _inner_pilota_value = &mut self.takes_work;
+                            ::pilota::pb::encoding::bool::merge(
+                                wire_type,
+                                _inner_pilota_value,
+                                buf,
+                                ctx,
+                            )
+                            .map_err(|mut error| {
+                                error.push(STRUCT_NAME, stringify!(takes_work));
+                                error
+                            })
+                        }
                         _ => {
                             ::pilota::pb::encoding::skip_field(wire_type, tag, buf, ctx)
                         }
@@ -2783,6 +2804,10 @@
                 pub instances: ::std::vec::Vec<Instance>,
 
                 pub store: ::pilota::FastStr,
+
+                pub bills_held: u64,
+
+                pub claims_pending: u64,
             }
             impl ::pilota::pb::Message for StatusReply {
                 #[inline]
@@ -2806,6 +2831,14 @@
                         ctx,
                         4,
                         &self.store,
+                    ) + ::pilota::pb::encoding::uint64::encoded_len(
+                        ctx,
+                        5,
+                        &self.bills_held,
+                    ) + ::pilota::pb::encoding::uint64::encoded_len(
+                        ctx,
+                        6,
+                        &self.claims_pending,
                     )
                 }
 
@@ -2817,6 +2850,12 @@
                         ::pilota::pb::encoding::message::encode(3, msg, buf);
                     }
                     ::pilota::pb::encoding::faststr::encode(4, &self.store, buf);
+                    ::pilota::pb::encoding::uint64::encode(5, &self.bills_held, buf);
+                    ::pilota::pb::encoding::uint64::encode(
+                        6,
+                        &self.claims_pending,
+                        buf,
+                    );
                 }
 
                 #[allow(unused_variables)]
@@ -2884,6 +2923,32 @@
                                 error
                             })
                         }
+                        5 => {
+                            let mut _inner_pilota_value = &mut self.bills_held;
+                            ::pilota::pb::encoding::uint64::merge(
+                                wire_type,
+                                _inner_pilota_value,
+                                buf,
+                                ctx,
+                            )
+                            .map_err(|mut error| {
+                                error.push(STRUCT_NAME, stringify!(bills_held));
+                                error
+                            })
+                        }
+                        6 => {
+                            let mut _inner_pilota_value = &mut self.claims_pending;
+                            ::pilota::pb::encoding::uint64::merge(
+                                wire_type,
+                                _inner_pilota_value,
+                                buf,
+                                ctx,
+                            )
+                            .map_err(|mut error| {
+                                error.push(STRUCT_NAME, stringify!(claims_pending));
+                                error
+                            })
+                        }
                         _ => {
                             ::pilota::pb::encoding::skip_field(wire_type, tag, buf, ctx)
                         }
--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -211,7 +211,22 @@
             let _ = out.end(mark).await;
             AttemptState::Done
         }
-        Ended::Cancelled | Ended::EntryGone => AttemptState::Failed("cancelled".into()),
+        Ended::Cancelled => AttemptState::Failed("cancelled".into()),
+        Ended::EntryGone => {
+            // A live entry bills or settles the request; a dead one's caller
+            // had this much.
+            if out.has_begun() {
+                let line = Line {
+                    model: dispatch.model.clone(),
+                    version: dispatch.version.clone(),
+                    output_tokens: u64::from(out.checker.tokens()),
+                    cost_micros: price(dispatch, 0, out.checker.tokens()),
+                    ..Line::default()
+                };
+                hold_copy(agent, dispatch, line);
+            }
+            AttemptState::Failed("the entry is gone".into())
+        }
         Ended::TooLate => {
             let failure = failure(out, "deadline", "allow more time");
             let _ = out.failed(&failure).await;
--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -20,7 +20,7 @@
 
 impl PeerHandler for Agent {
     async fn hello(&self, from: Hello) -> Hello {
-        self.node.take_hello(&from).await;
+        self.node.take_hello(&from, None).await;
         self.own_hello()
     }
 
@@ -105,7 +105,6 @@
         let is_service = !settings.service.is_empty();
         let gate = self.gate.borrow();
         Hello {
-            endpoint: settings.endpoint.clone(),
             service: settings.service.clone(),
             versions: load.versions.iter().cloned().collect(),
             running: if is_service {
--- a/crates/core/src/ctl.rs
+++ b/crates/core/src/ctl.rs
@@ -218,6 +218,7 @@
                     "leaving": instance.leaving,
                     "heard_ms": instance.heard_ms,
                     "log_age_ms": instance.log_age_ms,
+                    "takes_work": instance.takes_work,
                 })
             })
             .collect();
@@ -225,23 +226,26 @@
             "config_offset": reply.config_offset,
             "digest": reply.digest.as_str(),
             "store": reply.store.as_str(),
+            "bills_held": reply.bills_held,
+            "claims_pending": reply.claims_pending,
             "instances": instances,
         });
         println!("{body}");
         return;
     }
     println!(
-        "config_offset={} store={}",
-        reply.config_offset, reply.store
+        "config_offset={} store={} bills_held={} claims_pending={}",
+        reply.config_offset, reply.store, reply.bills_held, reply.claims_pending
     );
     for instance in &reply.instances {
         println!(
-            "{} role={} room={} config_offset={} leaving={} heard_ms={} log_age_ms={}",
+            "{} role={} room={} config_offset={} leaving={} takes_work={} heard_ms={} log_age_ms={}",
             instance.instance,
             instance.role,
             instance.room,
             instance.config_offset,
             instance.leaving,
+            instance.takes_work,
             instance.heard_ms,
             instance.log_age_ms,
         );
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -308,19 +308,25 @@
     let now = entry.node.now();
     let config = entry.config();
     let own = entry.node.hello();
-    let mut instances = vec![instance(&own, 0)];
+    let mut instances = vec![instance(&own, 0, false)];
+    let runners = entry.runners();
     for (_, peer) in entry.node.peers().iter() {
-        instances.push(instance(&peer.hello, now.since(peer.heard_at)));
+        let name = &peer.hello.instance;
+        let takes_work = runners.takes_work(name, now, entry.pick.silence_ms);
+        instances.push(instance(&peer.hello, now.since(peer.heard_at), takes_work));
     }
+    drop(runners);
     StatusReply {
         config_offset: config.offset,
         digest: config.digest().into(),
         instances,
         store: entry.node.health().as_str().into(),
+        bills_held: entry.node.bills().len() as u64,
+        claims_pending: entry.node.claims.pending() as u64,
     }
 }
 
-fn instance(hello: &wire::Hello, heard_ms: u64) -> Instance {
+fn instance(hello: &wire::Hello, heard_ms: u64, takes_work: bool) -> Instance {
     let is_agent = !hello.endpoint.is_empty();
     Instance {
         instance: hello.instance.clone().into(),
@@ -334,5 +340,6 @@
         leaving: hello.leaving,
         heard_ms,
         log_age_ms: hello.log_age_ms,
+        takes_work,
     }
 }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -387,7 +387,10 @@
         return Attempted::NotRun(not_run);
     }
     match entry.node.hub.query(runner, id.clone(), true).await {
-        Ok(AttemptState::Tombstoned) => Attempted::NotRun(not_run),
+        Ok(AttemptState::Tombstoned) => {
+            entry.runners().touch(runner, entry.node.now());
+            Attempted::NotRun(not_run)
+        }
         _ => Attempted::Lost(why),
     }
 }
--- a/crates/entry/src/cascade.rs
+++ b/crates/entry/src/cascade.rs
@@ -132,6 +132,9 @@
     request: &mut ChatRequest,
     step: &Step,
 ) -> Result<(Choice, u64), StepError> {
+    if !request.session.is_known(entry) {
+        return Err(StepError::Request(Stage::NotReady.into()));
+    }
     let started_on = request.session.started_on(entry, &step.model);
     let config = entry.config();
     let mut choice = decide(&config, request, step, started_on.as_deref())?;
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -1,6 +1,6 @@
 //! Chat completions: from the request's body to its pieces.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use bill::Bill;
 use bytes::Bytes;
@@ -183,7 +183,8 @@
             };
             spent = usage.output_tokens;
             let rated = rated(&request, &served.last.line, served.last.text.clone());
-            hold(&entry, &request, served.lines, served.last.served_outside).await;
+            let outside = served.last.served_outside;
+            hold(&entry, &request, served.lines, &trail.agents, outside).await;
             note(&entry, &request, Outcome::Done);
             let _ = pieces.send(Piece::End(usage)).await;
             entry.watch_rating(rated);
@@ -195,7 +196,7 @@
                 let mut lines = unserved.lines;
                 spent = line.output_tokens;
                 lines.push(line);
-                hold(&entry, &request, lines, false).await;
+                hold(&entry, &request, lines, &trail.agents, false).await;
                 let code = "caller_gone".to_owned();
                 note(
                     &entry,
@@ -217,11 +218,12 @@
                     },
                 );
                 entry.node.metrics.count("failed");
+                // There is no bill, so the agents' copies go at once.
+                settle(&entry, &request.request_id, trail.agents);
                 let _ = pieces.send(Piece::Error(error)).await;
             }
         },
     }
-    settle(&entry, &request.request_id, trail.agents);
     finish(&entry, &request, spent, trail.attempts);
 }
 
@@ -240,6 +242,7 @@
     entry: &Entry,
     request: &ChatRequest,
     lines: Vec<bill::Line>,
+    agents: &[SocketAddr],
     served_outside: bool,
 ) {
     let bill = Bill {
@@ -248,10 +251,7 @@
         at_ms: entry.node.clock.wall().0,
         lines,
     };
-    let holder = entry.node.hold_bill(bill, served_outside).await;
-    if let Some(holder) = holder {
-        entry.node.note_holder(&request.request_id, holder);
-    }
+    entry.node.hold_bill(bill, agents, served_outside).await;
 }
 
 fn note(entry: &Entry, request: &ChatRequest, outcome: Outcome) {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -11,10 +11,10 @@
 
 impl PeerHandler for Handler {
     async fn hello(&self, from: Hello) -> Hello {
-        if let Ok(address) = from.address.parse() {
-            self.0.take_report(address, &from);
+        if from.leaving {
+            self.0.runners().leaving_instance(&from.instance);
         }
-        self.0.node.take_hello(&from).await;
+        self.0.node.take_hello(&from, None).await;
         self.0.node.hello()
     }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -9,6 +9,7 @@
 use config::{ServiceSpec, TeamSpec};
 use log::info;
 use route::{Outcome as RunnerOutcome, RouteError, Target};
+use store::Health;
 use telemetry::Event;
 use wire::{
     Assembled, Assembler, AttemptId, AttemptState, Dispatch, Failure, FrameReceiver,
@@ -91,21 +92,23 @@
 ) {
     match result {
         Ok(answer) => {
-            if !answer.replayed {
-                bill(entry, request).await;
+            if answer.replayed {
+                settle(entry, &request.request_id, agents);
+            } else {
+                bill(entry, request, &agents).await;
             }
             note(entry, request, Outcome::Done);
         }
         Err(err) => {
+            // A call whose outcome is unknown may still end well at its agent,
+            // which then bills it.
+            if err.ran != Ran::Unknown {
+                settle(entry, &request.request_id, agents);
+            }
             let code = err.code().to_owned();
             note(entry, request, Outcome::Failed { code, ran: err.ran });
         }
     }
-    // A call whose outcome is unknown may still end well at its agent, which
-    // then bills it; only a known end is settled.
-    if !matches!(result, Err(err) if err.ran == Ran::Unknown) {
-        settle(entry, &request.request_id, agents);
-    }
     entry.admission().release(&request.team.name);
     entry.node.bills().unreserve();
     let event = Event::new("service_end")
@@ -120,7 +123,7 @@
     info!("{event}");
 }
 
-async fn bill(entry: &Entry, request: &ServiceRequest) {
+async fn bill(entry: &Entry, request: &ServiceRequest, agents: &[SocketAddr]) {
     let line = Line {
         model: request.service.name.clone(),
         cost_micros: request.service.cost_micros,
@@ -132,9 +135,7 @@
         at_ms: entry.node.clock.wall().0,
         lines: vec![line],
     };
-    if let Some(holder) = entry.node.hold_bill(bill, false).await {
-        entry.node.note_holder(&request.request_id, holder);
-    }
+    entry.node.hold_bill(bill, agents, false).await;
 }
 
 fn note(entry: &Entry, request: &ServiceRequest, outcome: Outcome) {
@@ -195,7 +196,7 @@
         match attempted {
             Attempted::Whole(answer) => return Ok(answer),
             Attempted::Final(err) => return Err(err),
-            Attempted::KeyTaken => return Err(key_taken(request)),
+            Attempted::KeyTaken => return await_other(entry, request).await,
             Attempted::Unknown => return Err(unknown(request)),
             Attempted::Lost(_) if !request.service.idempotent => {
                 return Err(unknown(request));
@@ -269,7 +270,10 @@
     match entry.node.hub.dispatch(runner, dispatch).await {
         Err(err) if err.never_sent() => Attempted::NotRun(unreachable()),
         Err(_) => match entry.node.hub.query(runner, id.clone(), true).await {
-            Ok(AttemptState::Tombstoned) => Attempted::NotRun(unreachable()),
+            Ok(AttemptState::Tombstoned) => {
+                entry.runners().touch(runner, entry.node.now());
+                Attempted::NotRun(unreachable())
+            }
             _ => Attempted::Lost(runner),
         },
         Ok((verdict, frames)) => match verdict.refusal {
@@ -423,6 +427,50 @@
     }
 }
 
+/// Waits for the outcome of the request that has the key, while its holder is
+/// heard, and gives the same answer.
+async fn await_other(
+    entry: &Arc<Entry>,
+    request: &ServiceRequest,
+) -> Result<ServiceAnswer, RequestError> {
+    let (team, key) = (&request.team.name, &request.key);
+    loop {
+        match entry.node.claims.state(team, key) {
+            ClaimState::Ended {
+                ending: Ending::Done,
+                status,
+                answer,
+                ..
+            } if !answer.is_empty() => {
+                let body = Bytes::from(answer);
+                return Ok(ServiceAnswer {
+                    status,
+                    body,
+                    replayed: true,
+                });
+            }
+            ClaimState::Ended { .. } => return Err(key_taken(request)),
+            ClaimState::Running { claim } => {
+                let agent = entry.runners().address_of(&claim.holder);
+                let heard =
+                    agent.is_some_and(|agent| is_heard(entry, agent, &claim.holder));
+                if !heard || entry.node.now() >= request.deadline {
+                    return Err(key_taken(request));
+                }
+            }
+            // The agent has read further than this entry, or the key was
+            // given up meanwhile.
+            ClaimState::Free => {
+                let late = entry.node.now() >= request.deadline;
+                if late || entry.node.health() != Health::Fresh {
+                    return Err(key_taken(request));
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
 /// Whether a claim's holder answered a heartbeat lately, under the same
 /// instance id: a restarted agent does not know the call.
 fn is_heard(entry: &Entry, agent: SocketAddr, holder: &str) -> bool {
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -51,6 +51,15 @@
         Ok(state)
     }
 
+    /// Whether this entry can tell what the session is bound to: one that has
+    /// not read the bindings yet must not choose a version anew.
+    pub fn is_known(&self, entry: &Entry) -> bool {
+        let by_ticket = !self.ticket.versions.is_empty();
+        self.name.is_empty()
+            || by_ticket
+            || entry.node.claims.is_read(&self.ticket.team, &self.name)
+    }
+
     /// Version that the session started on for a model, if it did.
     pub fn started_on(&self, entry: &Entry, model: &str) -> Option<String> {
         if let Some(version) = self.ticket.versions.get(model) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -128,7 +128,6 @@
     pub(crate) fn take_heard(&self, heard: Heard) {
         match heard {
             Heard::Reply(address, hello) => self.take_report(address, &hello),
-            Heard::Silent(_) => {}
             Heard::Gone(address) => self.runners().remove(address),
         }
     }
--- a/crates/node/src/bills.rs
+++ b/crates/node/src/bills.rs
@@ -16,26 +16,35 @@
 
 impl Node {
     /// Holds a bill here as its owner and, if there is one, at a process in
-    /// another room, before the answer's end goes out.  Returns the room's
-    /// holder.
+    /// another room, before the answer's end goes out.
     ///
-    /// `served_outside` tells that the agent that served it stands in another
-    /// room and so holds the bill already.
+    /// `agents` hold copies already; they are told with the other holder once
+    /// the log has the bill.  `served_outside` tells that the last of them
+    /// stands in another room, so that no further holder is needed.
     pub async fn hold_bill(
         &self,
         bill: Bill,
+        agents: &[SocketAddr],
         served_outside: bool,
-    ) -> Option<SocketAddr> {
-        let now = self.now();
-        self.bills().hold(bill.clone(), now, "");
-        if served_outside {
-            return None;
+    ) {
+        let request_id = bill.request_id.clone();
+        let mut holders = agents.to_vec();
+        if !served_outside {
+            holders.extend(self.hold_outside(&bill).await);
         }
+        // Noted first: the bill may be on the log at once.
+        self.peers().holders_mut().insert(request_id, holders);
+        self.bills().hold(bill, self.now(), "");
+    }
+
+    /// Has a process in another room hold a copy.
+    async fn hold_outside(&self, bill: &Bill) -> Option<SocketAddr> {
+        let now = self.now();
         let silence_ms = self.settings.entry.silence_ms;
         let room = &self.settings.process.room;
         let seed = rand::random();
         let holder = self.peers().holder_outside(room, now, silence_ms, seed)?;
-        let text = serde_json::to_string(&[&bill]).expect("a bill always encodes");
+        let text = serde_json::to_string(&[bill]).expect("a bill always encodes");
         match self.hub.hold_bills(holder, &self.instance, text).await {
             Ok(()) => Some(holder),
             Err(err) => {
@@ -48,13 +57,6 @@
         }
     }
 
-    /// Notes who else holds a bill, so that it is told once the log has it.
-    pub fn note_holder(&self, request_id: &str, holder: SocketAddr) {
-        self.peers()
-            .holders_mut()
-            .insert(request_id.to_owned(), holder);
-    }
-
     /// Takes copies of an owner's bills.
     pub fn hold_for(&self, owner: &str, bills: &str) -> Result<(), String> {
         let bills: Vec<Bill> = serde_json::from_str(bills)
@@ -103,7 +105,8 @@
         {
             let mut peers = self.peers();
             for bill in bills {
-                if let Some(holder) = peers.holders_mut().remove(&bill.request_id) {
+                let holders = peers.holders_mut().remove(&bill.request_id);
+                for holder in holders.unwrap_or_default() {
                     by_holder
                         .entry(holder)
                         .or_default()
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -20,13 +20,24 @@
     pub log_age_ms: u64,
 }
 
+/// What the configuration's fold can be used for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fold {
+    /// Nothing was folded yet.
+    Empty,
+    /// It stopped before a record from a newer build.
+    Blocked,
+    /// It is as new as what was heard.
+    Ready,
+}
+
 /// Judges by this process's own news and its peers'.
 ///
 /// `peers` holds only those heard within the silence bound; a peer's fresh
 /// news has lowered `log_age_ms` already.
 pub fn judge(
     room: &str,
-    config_offset: u64,
+    fold: Fold,
     log_age_ms: u64,
     peers: &[PeerNews],
     settings: &StoreSettings,
@@ -34,8 +45,11 @@
     if log_age_ms <= settings.stale_after_ms {
         return Health::Fresh;
     }
-    if config_offset == 0 {
-        return Health::Empty;
+    match fold {
+        Fold::Empty => return Health::Empty,
+        // The log answers, but holds a record that this build cannot read.
+        Fold::Blocked => return Health::CutOff,
+        Fold::Ready => {}
     }
     let mut rooms: BTreeSet<&str> = BTreeSet::from([room]);
     for peer in peers {
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -1,6 +1,11 @@
 //! Heartbeats to the processes that the platform lists or the settings name.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use log::debug;
 use store::{Instance, Role};
@@ -22,97 +27,104 @@
 pub enum Heard {
     /// The process answered.
     Reply(SocketAddr, Box<Hello>),
-    /// It did not answer within the silence bound.
-    Silent(SocketAddr),
     /// The platform no longer lists it, and it is silent.
     Gone(SocketAddr),
 }
 
-/// Sends heartbeats for ever.
-///
-/// A process that the list no longer holds is greeted on until it falls
-/// silent, since the list lags in both directions.
+/// Which addresses are greeted, and which the platform lists now.
+#[derive(Debug, Default)]
+struct Known {
+    listed: BTreeSet<SocketAddr>,
+    greeted: BTreeSet<SocketAddr>,
+}
+
+/// Reads the live list for ever and greets each process on it in a task of
+/// its own, so that a silent one holds up no other's heartbeat.
 pub(crate) async fn run<H>(node: Arc<Node>, heard: H)
 where
     H: Fn(Heard) + Send + Sync + 'static,
 {
     let heard = Arc::new(heard);
-    let mut listed: Vec<SocketAddr> = Vec::new();
-    let mut known: BTreeSet<SocketAddr> = BTreeSet::new();
-    let mut beat: u64 = 0;
-    let mut interval_ms = node.settings.entry.heartbeat_ms;
-    if node.kind == Kind::Agent {
-        interval_ms *= AGENT_FACTOR;
-    }
+    let known: Arc<Mutex<Known>> = Arc::default();
+    let interval_ms = interval_ms(&node);
     loop {
-        if beat.is_multiple_of(LIST_EVERY)
-            && let Ok(list) = node.store.instances().await
-        {
-            listed = targets(node.kind, &list.instances);
+        let mut fresh: Vec<SocketAddr> = node.settings.process.peers.clone();
+        if let Ok(list) = node.store.instances().await {
+            let listed = targets(node.kind, &list.instances);
+            fresh.extend(listed.iter().copied());
+            lock(&known).listed = listed.into_iter().collect();
         }
-        beat += 1;
-        known.extend(listed.iter().copied());
-        known.extend(node.settings.process.peers.iter().copied());
-        known.remove(&node.address);
-        let silent = greet_all(&node, &known, &heard).await;
-        for address in silent {
-            if !listed.contains(&address)
-                && !node.settings.process.peers.contains(&address)
-            {
-                known.remove(&address);
-                node.hub.drop_connection(address);
-                heard(Heard::Gone(address));
+        for address in fresh {
+            let is_new =
+                address != node.address && lock(&known).greeted.insert(address);
+            if is_new {
+                tokio::spawn(greet(
+                    node.clone(),
+                    known.clone(),
+                    heard.clone(),
+                    address,
+                ));
             }
         }
         let forget_ms = node.settings.entry.silence_ms * FORGET_SILENCES;
         node.peers().expire(node.now(), forget_ms);
-        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+        tokio::time::sleep(Duration::from_millis(interval_ms * LIST_EVERY)).await;
     }
 }
 
-fn targets(kind: Kind, instances: &[Instance]) -> Vec<SocketAddr> {
-    let wanted = instances.iter().filter(|instance| match kind {
-        Kind::Entry => true,
-        Kind::Agent => instance.role == Role::Entry,
-    });
-    wanted.map(|instance| instance.address).collect()
+fn lock(known: &Mutex<Known>) -> MutexGuard<'_, Known> {
+    known.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Greets all at once and returns those that did not answer.  A silent one
-/// must not hold up the others' next heartbeat for longer than one bound.
-async fn greet_all<H>(
-    node: &Arc<Node>,
-    known: &BTreeSet<SocketAddr>,
-    heard: &Arc<H>,
-) -> Vec<SocketAddr>
-where
+fn interval_ms(node: &Node) -> u64 {
+    let interval_ms = node.settings.entry.heartbeat_ms;
+    match node.kind {
+        Kind::Entry => interval_ms,
+        Kind::Agent => interval_ms * AGENT_FACTOR,
+    }
+}
+
+/// Greets one process until it is silent and the platform no longer lists it:
+/// the list lags in both directions.
+async fn greet<H>(
+    node: Arc<Node>,
+    known: Arc<Mutex<Known>>,
+    heard: Arc<H>,
+    address: SocketAddr,
+) where
     H: Fn(Heard) + Send + Sync + 'static,
 {
-    let mut greetings = tokio::task::JoinSet::new();
-    for address in known.iter().copied() {
-        let (node, heard) = (node.clone(), heard.clone());
-        greetings.spawn(async move {
-            match node.hub.hello(address, node.hello()).await {
-                Ok(mut hello) => {
-                    // The list's address counts, not what the other believes.
-                    hello.address = address.to_string();
-                    heard(Heard::Reply(address, Box::new(hello.clone())));
-                    node.take_hello(&hello).await;
-                    None
-                }
-                Err(err) => {
-                    debug!("event=heartbeat_lost peer={address} why=\"{err}\"");
-                    heard(Heard::Silent(address));
-                    Some(address)
+    let pause = Duration::from_millis(interval_ms(&node));
+    loop {
+        let asked_at = node.now();
+        match node.hub.hello(address, node.hello()).await {
+            Ok(mut hello) => {
+                // The list's address counts, not what the other believes.
+                hello.address = address.to_string();
+                heard(Heard::Reply(address, Box::new(hello.clone())));
+                node.take_hello(&hello, Some(asked_at)).await;
+            }
+            Err(err) => {
+                debug!("event=heartbeat_lost peer={address} why=\"{err}\"");
+                let named = node.settings.process.peers.contains(&address);
+                if !named && !lock(&known).listed.contains(&address) {
+                    break;
                 }
             }
-        });
-    }
-    let mut silent = Vec::new();
-    while let Some(result) = greetings.join_next().await {
-        silent.extend(result.ok().flatten());
+        }
+        tokio::time::sleep(pause).await;
     }
-    silent
+    lock(&known).greeted.remove(&address);
+    node.hub.drop_connection(address);
+    heard(Heard::Gone(address));
+}
+
+fn targets(kind: Kind, instances: &[Instance]) -> Vec<SocketAddr> {
+    let wanted = instances.iter().filter(|instance| match kind {
+        Kind::Entry => true,
+        Kind::Agent => instance.role == Role::Entry,
+    });
+    wanted.map(|instance| instance.address).collect()
 }
 
 impl Node {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,7 +26,7 @@
 use wire::{Hello, Hub};
 
 pub use claims::{ClaimBook, ClaimError};
-pub use health::{PeerNews, judge};
+pub use health::{Fold, PeerNews, judge};
 pub use heartbeat::Heard;
 pub use peers::{Peer, Peers};
 
@@ -149,9 +149,17 @@
     pub fn health(&self) -> Health {
         let now = self.now();
         let news = self.peers().news(now, self.settings.entry.silence_ms);
+        let config = self.view.current();
+        let fold = if config.blocked_at.is_some() {
+            Fold::Blocked
+        } else if config.offset == 0 {
+            Fold::Empty
+        } else {
+            Fold::Ready
+        };
         let health = judge(
             &self.settings.process.room,
-            self.view.offset(),
+            fold,
             self.view.log_age_ms(now),
             &news,
             &self.settings.store,
@@ -174,13 +182,22 @@
             config_offset: self.view.offset(),
             log_age_ms: self.view.log_age_ms(self.now()),
             leaving: self.is_leaving(),
+            endpoint: match self.kind {
+                Kind::Entry => String::new(),
+                Kind::Agent => self.settings.agent.endpoint.clone(),
+            },
             ..Hello::default()
         }
     }
 
     /// Takes what a peer said of itself, and fetches its configuration if
     /// that is newer.
-    pub async fn take_hello(&self, from: &Hello) {
+    ///
+    /// `asked_at` is when the question went out that this answers, if it is an
+    /// answer.  The age of the peer's news counts from then: an age that came
+    /// with an unknown delay would make old news look younger at each exchange,
+    /// and two processes could keep each other fresh for ever.
+    pub async fn take_hello(&self, from: &Hello, asked_at: Option<Millis>) {
         let Ok(address) = from.address.parse::<SocketAddr>() else {
             return;
         };
@@ -190,8 +207,11 @@
             self.catch_up(address).await;
         }
         let known = from.config_offset <= self.view.offset();
-        if known && from.log_age_ms != u64::MAX {
-            self.view.heard(now.minus(from.log_age_ms));
+        if let Some(asked_at) = asked_at
+            && known
+            && from.log_age_ms != u64::MAX
+        {
+            self.view.heard(asked_at.minus(from.log_age_ms));
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     table: BTreeMap<SocketAddr, Peer>,
-    holders: HashMap<String, SocketAddr>,
+    holders: HashMap<String, Vec<SocketAddr>>,
 }
 
 impl Peers {
@@ -93,7 +93,7 @@
     }
 
     /// Who else holds the bills of which requests.
-    pub(crate) fn holders_mut(&mut self) -> &mut HashMap<String, SocketAddr> {
+    pub(crate) fn holders_mut(&mut self) -> &mut HashMap<String, Vec<SocketAddr>> {
         &mut self.holders
     }
 
--- a/crates/route/src/runners.rs
+++ b/crates/route/src/runners.rs
@@ -183,6 +183,26 @@
         }
     }
 
+    /// Notes that a runner answered something other than a heartbeat.
+    pub fn touch(&mut self, key: RunnerKey, now: Millis) {
+        if let Some(runner) = self.table.get_mut(&key) {
+            runner.heard_at = runner.heard_at.max(now);
+        }
+    }
+
+    /// Address of an agent's instance.
+    pub fn address_of(&self, instance: &str) -> Option<RunnerKey> {
+        let mut all = self.table.iter();
+        all.find(|(_, runner)| runner.report.instance == instance)
+            .map(|(key, _)| *key)
+    }
+
+    /// Whether work may be sent to an instance now.
+    pub fn takes_work(&self, instance: &str, now: Millis, silence_ms: u64) -> bool {
+        let mut all = self.table.values();
+        all.any(|r| r.report.instance == instance && r.takes_work(now, silence_ms))
+    }
+
     /// Notes that a runner said it leaves, before its next heartbeat.
     pub fn leaving(&mut self, key: RunnerKey) {
         if let Some(runner) = self.table.get_mut(&key) {
@@ -190,6 +210,15 @@
         }
     }
 
+    /// Notes that an instance said it leaves, at whatever address.
+    pub fn leaving_instance(&mut self, instance: &str) {
+        for runner in self.table.values_mut() {
+            if runner.report.instance == instance {
+                runner.report.leaving = true;
+            }
+        }
+    }
+
     /// Forgets a runner that the platform no longer lists.
     pub fn remove(&mut self, key: RunnerKey) {
         self.table.remove(&key);
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -24,7 +24,7 @@
 
 /// Reads a stream from `from` on for ever, and hands each record to `take`.
 ///
-/// `heard` is called after each answer of the log, also an empty one.  Where
+/// `heard` is called after each read that reached the end.  Where
 /// records are gone, reading goes on at the first that is left.
 pub async fn follow<T, H>(
     store: Store,
@@ -38,14 +38,20 @@
     H: FnMut(),
 {
     let mut next = from;
+    // The first reads do not wait, so that a fresh process is soon ready.
+    let mut at_end = false;
     loop {
-        match store.read(&stream, next, PAGE_RECORDS, wait_ms).await {
+        let patience_ms = if at_end { wait_ms } else { 0 };
+        match store.read(&stream, next, PAGE_RECORDS, patience_ms).await {
             Ok(page) => {
                 for record in &page.records {
                     take(record);
                     next = record.offset + 1;
                 }
-                heard();
+                at_end = next >= page.next;
+                if at_end {
+                    heard();
+                }
             }
             Err(StoreError::Trimmed { first }) => next = first,
             Err(_) => pause().await,
@@ -68,6 +74,7 @@
     C: Clock + 'static,
 {
     let mut loader: Option<(Loader, u64)> = None;
+    let mut at_end = false;
     loop {
         let brought = loader
             .as_ref()
@@ -79,8 +86,13 @@
             .as_ref()
             .map_or_else(|| view.offset(), |(_, next)| *next);
         let asked_at = clock.now();
-        match store.read(CONFIG_STREAM, next, PAGE_RECORDS, wait_ms).await {
+        let patience_ms = if at_end { wait_ms } else { 0 };
+        match store
+            .read(CONFIG_STREAM, next, PAGE_RECORDS, patience_ms)
+            .await
+        {
             Ok(page) => {
+                at_end = page.records.is_empty();
                 take_page(&view, &mut loader, &page.records);
                 // Only a reader at the end knows all that was accepted.
                 if view.offset() >= page.next && loader.is_none() {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -38,5 +38,42 @@
 }
 
 scenarios! {
+    allowed_only
+    at_most_once_ack_lost
+    at_most_once_agent_dies
+    at_most_once_entry_dies
+    at_most_once_holder_paused
+    at_most_once_log_down
+    at_most_once_race
+    at_most_once_repeat
+    billing_ack_lost
+    billing_agent_dies
+    billing_both_die
+    billing_entry_dies
+    billing_outage
+    billing_retries
+    capacity
+    cascade
+    config_ack_lost
+    config_cold_start
+    config_cut_off
+    config_newer_record
+    config_race
+    config_retention
+    config_snapshot_torn
+    graceful_agent
+    graceful_entry
+    leaving_endpoint
+    not_run_frozen_agent
+    not_run_silent_connection
     path
+    regression_echoed_news
+    regression_entry_count
+    regression_silent_neighbour
+    rollout_halts
+    session_keeps_version
+    session_race
+    withdrawn_modes
+    withdrawn_restart_in_outage
+    withdrawn_stale_entry
 }
--- a/tests/util/script.rs
+++ b/tests/util/script.rs
@@ -10,7 +10,7 @@
 //! | `engine NAME versions=a@v1,b@v1 [slots= first_ms= token_ms=]` | starts an engine |
 //! | `service NAME` | starts a plain service |
 //! | `entry NAME room=R [section.key=value ...]` | starts an entry |
-//! | `agent NAME room=R endpoint=E [section.key=value ...]` | starts an agent |
+//! | `agent NAME room=R endpoint=E [unlisted] [section.key=value ...]` | starts an agent |
 //! | `relay NAME to=log\|DAEMON` | starts a byte relay |
 //! | `relay-mode NAME pass\|silence-open\|cut\|silence-replies\|delay-requests=MS` | changes one |
 //! | `log up\|down\|freeze\|thaw\|slow=MS\|lose-acks=N\|trim=STREAM:N\|refuse-appends=STREAM` | the log's faults |
@@ -18,7 +18,8 @@
 //! | `live down\|up\|remove=NAME` | the live list's faults |
 //! | `change-engine NAME frozen=yes cut_after=N bad=yes token_ms= load=V unload=V` | an engine's faults |
 //! | `change-service NAME delay_ms= hang=yes` | a service's faults |
-//! | `kill NAME`, `stop NAME`, `freeze NAME`, `thaw NAME`, `wait-exit NAME`, `restart NAME room=R` | signals and ends |
+//! | `kill NAME`, `stop NAME`, `freeze NAME`, `thaw NAME`, `wait-exit NAME`, `restart NAME room=R [same-address]` | signals and ends |
+//! | `setup ENTRY MODEL=v1,v2 ... teams=a,b [services= idempotent=]` | creates objects by `ctl` |
 //! | `ctl ENTRY WORDS...` | operators' client; prints output and exit code |
 //! | `chat ENTRY team= model= prompt= [tokens= stream session= ticket=SLOT deadline_ms=]` | a chat call |
 //! | `call ENTRY team= service= key= [body= deadline_ms=]` | a service call |
@@ -157,6 +158,7 @@
                 self.signal(name, &args).await
             }
             "ctl" => self.ctl(rest),
+            "setup" => self.setup(&args),
             "chat" => {
                 let (answer, slot) = self.chat(&args).await;
                 self.keep_ticket(slot, &answer);
@@ -165,6 +167,25 @@
             "call" => format!("{}\n", self.call(&args).await.line()),
             "get" => self.get(&args).await,
             "spawn" => self.spawn(rest),
+            "many" | "many-any" => self.many(rest, name == "many").await,
+            "race" => self.race(&args).await,
+            "rater" => {
+                self.world.rater.set_silent(args.has("silent"));
+                String::new()
+            }
+            "new-ticket-key" => {
+                self.world.write_secrets(args.word(0), Some(args.word(1)));
+                String::new()
+            }
+            "join-length" => {
+                let answer = self.joined(args.word(0)).await;
+                match answer.as_ref().and_then(|answer| answer.text.as_ref()) {
+                    Some(text) => {
+                        format!("{} pieces\n", text.split_whitespace().count())
+                    }
+                    None => format!("{:?}\n", answer.map(|answer| answer.line())),
+                }
+            }
             "join" => self.join(args.word(0)).await,
             "bills" | "runs" | "started" | "orders" => self.count(name, &args),
             name if name.starts_with("wait-") => self.wait(name, &args, rest).await,
@@ -203,6 +224,10 @@
                 let (room, endpoint) = (args.need("room"), args.need("endpoint"));
                 self.world
                     .start_agent(name, room, endpoint, &self.extra(args));
+                if args.has("unlisted") {
+                    // A relay before it is listed instead.
+                    self.world.live.remove(name);
+                }
             }
             _ => {
                 let to = args.need("to");
@@ -334,7 +359,8 @@
     async fn signal(&mut self, what: &str, args: &Args<'_>) -> String {
         let name = args.word(0);
         if what == "restart" {
-            self.world.restart(name, args.need("room"));
+            self.world
+                .restart(name, args.need("room"), args.has("same-address"));
             return String::new();
         }
         let daemon = self.world.daemons.get_mut(name).expect("a daemon");
@@ -360,6 +386,39 @@
         String::new()
     }
 
+    /// Creates models with versions, the first of which serves, services and
+    /// teams that may use them all.
+    fn setup(&self, args: &Args<'_>) -> String {
+        let entry = args.word(0);
+        let mut allow = String::new();
+        for (model, versions) in &args.pairs {
+            if matches!(*model, "teams" | "services" | "idempotent") {
+                continue;
+            }
+            allow.push_str(&format!(" --allow {model}"));
+            self.ctl(&format!("{entry} put model {model}"));
+            for version in versions.split(',') {
+                let flags = "--cost 1000 --quality 0.9";
+                self.ctl(&format!("{entry} put version {model}@{version} {flags}"));
+            }
+            let serving = versions.split(',').next().unwrap_or_default();
+            self.ctl(&format!("{entry} put model {model} --serving {serving}"));
+        }
+        for (name, flag) in [("services", ""), ("idempotent", "--idempotent")] {
+            for service in args.get(name).unwrap_or_default().split(',') {
+                if !service.is_empty() {
+                    self.ctl(&format!("{entry} put service {service} --cost 7 {flag}"));
+                    allow.push_str(&format!(" --service {service}"));
+                }
+            }
+        }
+        for team in args.need("teams").split(',') {
+            let token = format!("--token-digest token:{team}-token");
+            self.ctl(&format!("{entry} put team {team} {token}{allow}"));
+        }
+        String::new()
+    }
+
     fn ctl(&self, rest: &str) -> String {
         let words: Vec<String> = rest
             .split_whitespace()
@@ -379,7 +438,7 @@
         };
         let args: Vec<&str> = args.iter().map(String::as_str).collect();
         let output = self.world.ctl_as(operator, entry, &args);
-        let mut out = String::from_utf8_lossy(&output.stdout).into_owned();
+        let mut out = hide_times(&String::from_utf8_lossy(&output.stdout));
         out.push_str(&hide_times(&String::from_utf8_lossy(&output.stderr)));
         match output.status.code() {
             Some(0) => out,
@@ -477,13 +536,73 @@
     }
 
     async fn join(&mut self, id: &str) -> String {
+        match self.joined(id).await {
+            Some(answer) => format!("{}\n", answer.line()),
+            None => "no answer\n".into(),
+        }
+    }
+
+    async fn joined(&mut self, id: &str) -> Option<Answer> {
         let background = self.background.remove(id).expect("a background call");
         let limit = Duration::from_secs(100);
-        match tokio::time::timeout(limit, background.task).await {
-            Ok(Ok(answer)) => format!("{}\n", answer.line()),
-            Ok(Err(err)) => format!("broken: {err}\n"),
-            Err(_) => "no answer\n".into(),
+        tokio::time::timeout(limit, background.task)
+            .await
+            .ok()?
+            .ok()
+    }
+
+    /// `many N chat ...`: the calls one after the other, and how often each
+    /// answer came.
+    async fn many(&mut self, rest: &str, print: bool) -> String {
+        let (count, command) = rest.split_once(' ').expect("a count and a command");
+        let (_, command) = command.split_once(' ').expect("a command's words");
+        let mut lines: BTreeMap<String, u32> = BTreeMap::new();
+        for _ in 0..count.parse::<u32>().expect("a number") {
+            let args = Args::read(command);
+            let (answer, _) = self.chat(&args).await;
+            *lines.entry(answer.line()).or_default() += 1;
+        }
+        if !print {
+            return String::new();
         }
+        lines
+            .into_iter()
+            .map(|(line, count)| format!("{count} x {line}\n"))
+            .collect()
+    }
+
+    /// `race N ENTRY ENTRY TEAM MODEL`: the first requests of N sessions come
+    /// to two entries at once.
+    async fn race(&mut self, args: &Args<'_>) -> String {
+        let count: u32 = args.word(0).parse().expect("a number");
+        let entries = [
+            self.world.address(args.word(1), "callers"),
+            self.world.address(args.word(2), "callers"),
+        ];
+        let mut same = 0;
+        let mut versions: BTreeMap<String, u32> = BTreeMap::new();
+        for at in 0..count {
+            let call = ChatCall {
+                token: format!("{}-token", args.word(3)),
+                model: args.word(4).to_owned(),
+                prompt: "x".into(),
+                tokens: Some(1),
+                session: Some(format!("race-{at}")),
+                ..ChatCall::default()
+            };
+            let seen = || watch::Sender::new(String::new());
+            let (first, second) = tokio::join!(
+                caller::chat(entries[0], &call, seen()),
+                caller::chat(entries[1], &call, seen()),
+            );
+            same += u32::from(first.version == second.version && first.status == 200);
+            *versions.entry(first.version).or_default() += 1;
+        }
+        let used: Vec<String> = versions.into_keys().collect();
+        format!(
+            "{same} of {count} sessions on one version; used {}\n",
+            used.join(" ")
+        )
     }
 
     fn count(&self, what: &str, args: &Args<'_>) -> String {
@@ -571,6 +690,36 @@
                 let entry = self.world.address(args.word(0), "callers");
                 caller::get(entry, "", "/ready").await.0 == 200
             }
+            "wait-not-ready" => {
+                let entry = self.world.address(args.word(0), "callers");
+                caller::get(entry, "", "/ready").await.0 == 503
+            }
+            "wait-done" | "wait-free" => {
+                let entry = self.world.address(args.word(0), "callers");
+                let token = format!("{}-token", args.word(1));
+                let path = format!("/v1/outcomes/{}", args.word(2));
+                let (_, body) = caller::get(entry, &token, &path).await;
+                let state = if what == "wait-done" {
+                    "done"
+                } else {
+                    "not_run"
+                };
+                body.contains(&format!("\"state\":\"{state}\""))
+            }
+            "wait-held" => {
+                let status = self.ctl(&format!("{} status", args.word(0)));
+                status.contains(&format!("bills_held={} ", args.word(1)))
+            }
+            "wait-status" => {
+                let (entry, rest) = rest.split_once(' ').expect("an entry");
+                let (text, count) = rest.rsplit_once(' ').expect("a text and a count");
+                let status = self.ctl(&format!("{entry} status"));
+                let wanted: usize = count.parse().expect("a number");
+                status.matches(text).count() >= wanted
+            }
+            "wait-refused" | "wait-refused-session" | "wait-answer" => {
+                self.probe(what, args).await
+            }
             "wait-log" => {
                 let (daemon, text) = rest.split_once(' ').expect("a daemon and a text");
                 let log = std::fs::read_to_string(self.world.log_path(daemon));
@@ -587,6 +736,31 @@
     }
 }
 
+impl Script {
+    /// Makes a small call until its answer is the wanted one.
+    async fn probe(&self, what: &str, args: &Args<'_>) -> bool {
+        let entry = self.world.address(args.word(0), "callers");
+        let session = (what == "wait-refused-session").then(|| args.word(3).to_owned());
+        let call = ChatCall {
+            token: format!("{}-token", args.word(1)),
+            model: args.word(2).to_owned(),
+            prompt: "probe".into(),
+            tokens: Some(1),
+            session,
+            ..ChatCall::default()
+        };
+        let answer =
+            caller::chat(entry, &call, watch::Sender::new(String::new())).await;
+        match what {
+            "wait-answer" => answer.text.is_some(),
+            _ => {
+                let code = args.words.last().copied().unwrap_or_default();
+                answer.error.is_some_and(|error| error.starts_with(code))
+            }
+        }
+    }
+}
+
 /// Times differ from run to run.
 fn hide_times(text: &str) -> String {
     let mut out = String::new();
--- a/tests/util/world.rs
+++ b/tests/util/world.rs
@@ -48,6 +48,7 @@
     pub relays: BTreeMap<String, Relay>,
     pub daemons: BTreeMap<String, Daemon>,
     starts: BTreeMap<String, Start>,
+    known_peers: BTreeMap<String, SocketAddr>,
     dir: TempDir,
     /// Settings that every daemon gets, `section.key` to value.
     pub common: BTreeMap<String, String>,
@@ -57,17 +58,8 @@
     /// Starts the platform's stand-ins.
     pub async fn start() -> World {
         let dir = tempfile::tempdir().expect("a folder for the test");
-        let secrets = dir.path().join("secrets.ini");
-        let text = format!(
-            "[ticket]\nkey = first-key\n[operators]\nalice = {}\nbob = {}\n",
-            digest(OPERATOR_TOKEN),
-            digest("bob-token")
-        );
-        fs::write(&secrets, text).expect("the secrets can be written");
-        fs::set_permissions(&secrets, fs::Permissions::from_mode(0o600))
-            .expect("the secrets' mode can be set");
         let mut common = BTreeMap::new();
-        let secrets = secrets.display().to_string();
+        let secrets = dir.path().join("secrets.ini").display().to_string();
         common.insert("process.secrets_file".to_owned(), secrets);
         for (key, value) in [
             ("store.poll_wait_ms", "200"),
@@ -79,7 +71,7 @@
         ] {
             common.insert(key.to_owned(), value.to_owned());
         }
-        World {
+        let world = World {
             log: LogService::start().await,
             live: LiveService::start().await,
             rater: RaterService::start().await,
@@ -88,9 +80,26 @@
             relays: BTreeMap::new(),
             daemons: BTreeMap::new(),
             starts: BTreeMap::new(),
+            known_peers: BTreeMap::new(),
             dir,
             common,
-        }
+        };
+        world.write_secrets("first-key", None);
+        world
+    }
+
+    /// Writes the secrets that daemons read when they start.
+    pub fn write_secrets(&self, key: &str, old_key: Option<&str>) {
+        let path = self.dir.path().join("secrets.ini");
+        let old_key = old_key.map_or(String::new(), |key| format!("old_key = {key}\n"));
+        let text = format!(
+            "[ticket]\nkey = {key}\n{old_key}[operators]\nalice = {}\nbob = {}\n",
+            digest(OPERATOR_TOKEN),
+            digest("bob-token")
+        );
+        fs::write(&path, text).expect("the secrets can be written");
+        fs::set_permissions(&path, fs::Permissions::from_mode(0o600))
+            .expect("the secrets' mode can be set");
     }
 
     /// Writes a settings file.  Later settings go before earlier ones.
@@ -170,6 +179,8 @@
     fn spawn(&mut self, name: &str, command: &str, config: PathBuf) {
         let log = self.log_path(name);
         let daemon = Daemon::start(command, &config, &log);
+        self.known_peers
+            .insert(name.to_owned(), daemon.address("peers"));
         self.daemons.insert(name.to_owned(), daemon);
         self.starts.insert(
             name.to_owned(),
@@ -180,9 +191,25 @@
         );
     }
 
-    /// Starts a daemon again; its addresses are new, and the platform knows.
-    pub fn restart(&mut self, name: &str, room: &str) {
+    /// Starts a daemon again, and the platform knows.  Its addresses are new,
+    /// unless it comes back on the one that its peers knew.
+    pub fn restart(&mut self, name: &str, room: &str, same_address: bool) {
         let start = self.starts[name].clone();
+        if same_address {
+            let text =
+                fs::read_to_string(&start.config).expect("its settings are there");
+            let known = self.known_peers[name].to_string();
+            let place = if start.command == "agent" {
+                "listen"
+            } else {
+                "peer_listen"
+            };
+            let text = text.replace(
+                &format!("{place} = 127.0.0.1:0"),
+                &format!("{place} = {known}"),
+            );
+            fs::write(&start.config, text).expect("settings can be written");
+        }
         self.spawn(name, &start.command, start.config);
         let address = self.daemons[name].address("peers");
         self.live.add(name, &start.command, room, address);
@@ -269,6 +296,7 @@
             .filter(|instance| {
                 instance["config_offset"].as_u64() == Some(next)
                     && instance["heard_ms"].as_u64().is_some_and(|ms| ms < 1_000)
+                    && (instance["role"] == "entry" || instance["takes_work"] == true)
             })
             .filter_map(|instance| instance["instance"].as_str().map(str::to_owned))
             .collect();
