--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use bill::{Bill, Line};
 use bytes::Bytes;
+use futures::future::{Fuse, FusedFuture, FutureExt, LocalBoxFuture};
 use gate::{Admitted, Permit, Reason, Started};
 use log::warn;
 use serde_json::Value;
@@ -64,6 +65,16 @@
 
     /// Sends a piece of the answer.
     pub async fn chunk(&mut self, payload: Bytes, tokens: u32) -> Result<(), SinkGone> {
+        self.begin_chunk(payload, tokens).await
+    }
+
+    /// Numbers and counts a piece; the returned future sends it and does not
+    /// borrow, so that more of the answer can be read meanwhile.
+    fn begin_chunk(
+        &mut self,
+        payload: Bytes,
+        tokens: u32,
+    ) -> impl Future<Output = Result<(), SinkGone>> + use<> {
         let frame = Frame {
             id: self.id.clone(),
             seq: self.checker.count(),
@@ -73,7 +84,8 @@
             ..Frame::default()
         };
         self.checker.push(&frame.payload, tokens);
-        self.sink.push(&frame).await
+        let sink = self.sink.clone();
+        async move { sink.push(&frame).await }
     }
 
     /// Sends the end mark of a whole answer; `mark` says what the answer used.
@@ -164,24 +176,61 @@
         Ok(answer) => answer,
         Err(err) => return Ended::Engine(err),
     };
-    loop {
-        match answer.next().await {
-            Ok(Piece::Text(text)) => {
-                if out.chunk(Bytes::from(text), 1).await.is_err() {
+    let mut sending: Fuse<LocalBoxFuture<'static, Result<(), SinkGone>>> =
+        Fuse::terminated();
+    let mut gathered = Gathered::default();
+    let ended = loop {
+        tokio::select! {
+            sent = &mut sending => {
+                if sent.is_err() {
                     return Ended::EntryGone;
                 }
             }
-            Ok(Piece::End {
-                prompt_tokens,
-                output_tokens,
-            }) => {
-                return Ended::Whole {
-                    prompt_tokens,
-                    output_tokens,
-                };
-            }
-            Err(err) => return Ended::Engine(err),
+            piece = answer.next() => match piece {
+                Ok(Piece::Text(text)) => gathered.push(&text),
+                Ok(Piece::End { prompt_tokens, output_tokens }) => {
+                    break Ended::Whole { prompt_tokens, output_tokens };
+                }
+                Err(err) => break Ended::Engine(err),
+            },
+        }
+        if sending.is_terminated()
+            && let Some((text, tokens)) = gathered.take()
+        {
+            sending = out.begin_chunk(text, tokens).boxed_local().fuse();
+        }
+    };
+    if !sending.is_terminated() && sending.await.is_err() {
+        return Ended::EntryGone;
+    }
+    if let Some((text, tokens)) = gathered.take()
+        && out.chunk(text, tokens).await.is_err()
+    {
+        return Ended::EntryGone;
+    }
+    ended
+}
+
+/// Tokens that came while the last frame was on its way: they share the next
+/// one, so that a fast engine costs a frame a round trip, not a token.
+#[derive(Default)]
+struct Gathered {
+    text: String,
+    tokens: u32,
+}
+
+impl Gathered {
+    fn push(&mut self, text: &str) {
+        self.text.push_str(text);
+        self.tokens += 1;
+    }
+
+    fn take(&mut self) -> Option<(Bytes, u32)> {
+        if self.tokens == 0 {
+            return None;
         }
+        let tokens = std::mem::take(&mut self.tokens);
+        Some((Bytes::from(std::mem::take(&mut self.text)), tokens))
     }
 }
 
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -55,9 +55,13 @@
     Broken(String),
 }
 
+/// Longest wait for the end of a body whose last event has come, ms.
+const TAIL_MS: u64 = 1_000;
+
 /// An answer under way.
 pub(crate) struct Answer {
-    events: SseReader<Body>,
+    /// `None` once the end mark came.
+    events: Option<SseReader<Body>>,
     usage: Option<(u32, u32)>,
 }
 
@@ -77,7 +81,7 @@
         let events = SseReader::into_sse(response)
             .map_err(|err| EngineError::Refused(err.to_string()))?;
         Ok(Answer {
-            events,
+            events: Some(events),
             usage: None,
         })
     }
@@ -85,7 +89,10 @@
     /// The next piece.  Only the engine's own end mark makes an answer whole.
     pub async fn next(&mut self) -> Result<Piece, EngineError> {
         loop {
-            let event = self.events.read().await;
+            let Some(events) = &mut self.events else {
+                return Err(EngineError::Broken("the answer has ended".into()));
+            };
+            let event = events.read().await;
             let event = event.map_err(|err| EngineError::Broken(err.to_string()))?;
             let Some(event) = event else {
                 return Err(EngineError::Broken("the stream ended early".into()));
@@ -96,6 +103,7 @@
                     self.usage.take().ok_or_else(|| {
                         EngineError::Broken("the answer ended without its usage".into())
                     })?;
+                self.free_connection();
                 return Ok(Piece::End {
                     prompt_tokens,
                     output_tokens,
@@ -114,6 +122,18 @@
         }
     }
 
+    /// Reads the body to its end, so that the connection can be used again;
+    /// a new one for each request would cost more than the request.
+    fn free_connection(&mut self) {
+        if let Some(mut events) = self.events.take() {
+            tokio::task::spawn_local(async move {
+                let limit = Duration::from_millis(TAIL_MS);
+                let rest = async { while let Ok(Some(_)) = events.read().await {} };
+                let _ = tokio::time::timeout(limit, rest).await;
+            });
+        }
+    }
+
     fn take_usage(&mut self, value: &Value) {
         let count = |name: &str| {
             let found = value.get("usage").and_then(|usage| usage.get(name));
--- /dev/null
+++ b/crates/bench/src/policy.rs
@@ -0,0 +1,2 @@
+//! x
+pub fn run(_: u64, _: &std::path::Path) {}
--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -1,6 +1,6 @@
 //! The fold of configuration records, in offset order.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -79,6 +79,55 @@
     revision: u64,
 }
 
+/// The newest change ids, findable without a walk: a day brings thousands.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(from = "VecDeque<Known>", into = "VecDeque<Known>")]
+struct KnownChanges {
+    order: VecDeque<Known>,
+    /// Serial of an id's entry; the first entry in `order` has `first`.
+    serials: HashMap<String, u64>,
+    first: u64,
+}
+
+impl KnownChanges {
+    fn push(&mut self, known: Known) {
+        let serial = self.first + self.order.len() as u64;
+        self.serials.insert(known.change_id.clone(), serial);
+        self.order.push_back(known);
+        if self.order.len() > CHANGE_IDS_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.serials.remove(&oldest.change_id);
+            self.first += 1;
+        }
+    }
+
+    fn get(&self, change_id: &str) -> Option<&Known> {
+        let serial = self.serials.get(change_id)?;
+        self.order.get((serial - self.first) as usize)
+    }
+}
+
+impl From<VecDeque<Known>> for KnownChanges {
+    fn from(order: VecDeque<Known>) -> Self {
+        let serials = order.iter().enumerate();
+        let serials = serials
+            .map(|(at, known)| (known.change_id.clone(), at as u64))
+            .collect();
+        KnownChanges {
+            order,
+            serials,
+            first: 0,
+        }
+    }
+}
+
+impl From<KnownChanges> for VecDeque<Known> {
+    fn from(known: KnownChanges) -> Self {
+        known.order
+    }
+}
+
 /// The configuration in force at an offset.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Config {
@@ -97,7 +146,7 @@
     /// Plain services by name.
     pub services: BTreeMap<String, Entity<ServiceSpec>>,
     audit: VecDeque<AuditEntry>,
-    known: VecDeque<Known>,
+    known: KnownChanges,
     /// Offset of a record from a newer build, at which the fold stopped.
     pub blocked_at: Option<u64>,
     /// Records that were skipped because they were cut short.
@@ -155,14 +204,11 @@
         let result = self.change(&record, revision);
         let after = self.describe(&object);
         let refused = result.err();
-        self.known.push_back(Known {
+        self.known.push(Known {
             change_id: record.change_id.clone(),
             refused: refused.clone(),
             revision,
         });
-        if self.known.len() > CHANGE_IDS_KEPT {
-            self.known.pop_front();
-        }
         self.audit.push_back(AuditEntry {
             offset,
             at_ms: record.at_ms,
@@ -186,11 +232,7 @@
 
     /// The verdict on a change that was folded, if its id is still known.
     pub fn verdict_of(&self, change_id: &str) -> Option<Verdict> {
-        let known = self
-            .known
-            .iter()
-            .rev()
-            .find(|known| known.change_id == change_id)?;
+        let known = self.known.get(change_id)?;
         Some(match &known.refused {
             Some(err) => Verdict::Refused(err.clone()),
             None => Verdict::Accepted {
--- /dev/null
+++ b/crates/dev/src/plant.rs
@@ -0,0 +1,191 @@
+//! Starts the stand-ins, the daemons and a small configuration.
+
+use std::{net::SocketAddr, thread};
+
+use config::{
+    CascadeSpec, CascadeStep, Change, ChangeRecord, ModelSpec, ServiceSpec, TeamSpec,
+    VersionSpec,
+};
+use entry::Listeners;
+use settings::{Operator, Role, Settings};
+use sha2::{Digest, Sha256};
+use standin::{
+    Engine, EngineModel, LiveService, LogService, PlainService, RaterService,
+};
+use store::CONFIG_STREAM;
+use tokio::{net::TcpListener, task::LocalSet};
+
+/// Token of the one team.
+pub const TEAM_TOKEN: &str = "members-token";
+
+/// Token of the one operator.
+pub const OPERATOR_TOKEN: &str = "alice-token";
+
+/// What runs.
+pub struct Plant {
+    /// The platform's log.
+    pub log: LogService,
+    /// Where callers reach the entry.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// Kept for as long as the plant runs.
+    _standins: (LiveService, RaterService, PlainService, Vec<Engine>),
+}
+
+fn digest(token: &str) -> String {
+    hex::encode(Sha256::digest(token))
+}
+
+fn settings(role: Role, text: &str) -> Settings {
+    let mut settings =
+        Settings::parse(role, "dev", text).expect("the plant's settings are valid");
+    settings.secrets.ticket_keys = vec!["a key for this run only".into()];
+    let token_digest = digest(OPERATOR_TOKEN);
+    settings.secrets.operators = vec![Operator {
+        name: "alice".into(),
+        token_digest,
+    }];
+    settings
+}
+
+impl Plant {
+    /// Starts everything and waits until the entry answers.
+    pub async fn start() -> Plant {
+        let log = LogService::start().await;
+        let live = LiveService::start().await;
+        let rater = RaterService::start().await;
+        let filing = PlainService::start().await;
+        let small = Engine::start(EngineModel::default(), &["small@v1"]).await;
+        let large =
+            Engine::start(EngineModel::default(), &["draft@v1", "draft@v2"]).await;
+        publish_configuration(&log);
+        let store = format!(
+            "[store]\naddress = {}\nlive_address = {}\nclaim_partitions = 2\n",
+            log.address, live.address
+        );
+        let agents = [
+            ("small", "ghent", small.address, ""),
+            ("large", "bruges", large.address, ""),
+            ("filing", "antwerp", filing.address, "filing"),
+        ];
+        for (name, room, endpoint, service) in agents {
+            let text = format!(
+                "[process]\nroom = {room}\n{store}[agent]\nendpoint = {name}\n\
+                 endpoint_address = {endpoint}\nservice = {service}\n"
+            );
+            let address = start_agent(settings(Role::Agent, &text)).await;
+            live.add(name, "agent", room, address);
+        }
+        let text = format!(
+            "[process]\nroom = ghent\n{store}[entry]\nlisten = 127.0.0.1:0\n\
+             admin_listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\nheartbeat_ms = 100\n\
+             cascade = always\nrater_address = {}\n",
+            rater.address
+        );
+        let settings = settings(Role::Entry, &text);
+        let listeners = Listeners::bind(&settings)
+            .await
+            .expect("loopback ports are free");
+        let address = |listener: &TcpListener| {
+            listener.local_addr().expect("a listener has an address")
+        };
+        let (callers, operators) =
+            (address(&listeners.callers), address(&listeners.operators));
+        tokio::spawn(entry::run(settings, listeners));
+        Plant {
+            log,
+            callers,
+            operators,
+            _standins: (live, rater, filing, vec![small, large]),
+        }
+    }
+}
+
+/// Starts an agent on a thread of its own, as it would be a process.
+async fn start_agent(settings: Settings) -> SocketAddr {
+    let listener =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    listener
+        .set_nonblocking(true)
+        .expect("a listener can be made non-blocking");
+    let address = listener.local_addr().expect("a listener has an address");
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime can be built");
+        let run = async {
+            let listener =
+                TcpListener::from_std(listener).expect("a listener joins a runtime");
+            agent::run(settings, listener, std::future::pending()).await;
+        };
+        LocalSet::new().block_on(&runtime, run);
+    });
+    address
+}
+
+fn publish_configuration(log: &LogService) {
+    let model = |name: &str, serving: &str| {
+        Change::Model(ModelSpec {
+            name: name.into(),
+            serving: serving.into(),
+        })
+    };
+    let version = |model: &str, version: &str, cost| {
+        Change::Version(VersionSpec {
+            model: model.into(),
+            version: version.into(),
+            cost_micros_per_ktoken: cost,
+            quality: 0.9,
+        })
+    };
+    let step = |model: &str| CascadeStep {
+        model: model.into(),
+        pass_rating: 0.5,
+    };
+    let changes = [
+        (0, model("small", "")),
+        (0, version("small", "v1", 200)),
+        (1, model("small", "v1")),
+        (0, model("draft", "")),
+        (0, version("draft", "v1", 2_000)),
+        (0, version("draft", "v2", 2_000)),
+        (4, model("draft", "v1")),
+        (
+            0,
+            Change::Cascade(CascadeSpec {
+                name: "care".into(),
+                steps: vec![step("small"), step("draft")],
+            }),
+        ),
+        (
+            0,
+            Change::Service(ServiceSpec {
+                name: "filing".into(),
+                ..ServiceSpec::default()
+            }),
+        ),
+        (
+            0,
+            Change::Team(TeamSpec {
+                name: "members".into(),
+                token_digests: vec![digest(TEAM_TOKEN)],
+                allowed: vec!["small".into(), "draft".into()],
+                services: vec!["filing".into()],
+                weight: 1,
+                ..TeamSpec::default()
+            }),
+        ),
+    ];
+    for (at, (expected_revision, change)) in changes.into_iter().enumerate() {
+        let record = ChangeRecord {
+            change_id: format!("dev-{at}"),
+            who: "dev".into(),
+            expected_revision,
+            change,
+            ..ChangeRecord::default()
+        };
+        log.append(CONFIG_STREAM, &record.encode());
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,7 +21,7 @@
 use bill::BillBuffer;
 use clock::{Clock, Millis, SystemClock};
 use settings::{Settings, StoreOutage};
-use store::{ConfigView, Health, Store};
+use store::{ConfigNews, ConfigView, Health, Store};
 use telemetry::Metrics;
 use wire::{Hello, Hub};
 
@@ -219,17 +219,18 @@
     pub async fn catch_up(&self, peer: SocketAddr) {
         let have = self.view.offset();
         if let Ok(Some((offset, body))) = self.hub.fetch_config(peer, have).await
-            && let Some(config) = config::Config::decode(&body)
-            && self.view.install(config)
+            && let Ok(news) = serde_json::from_str::<ConfigNews>(&body)
         {
+            self.view.take_news(news);
             log::info!("event=config_from_peer peer={peer} had={have} offset={offset}");
         }
     }
 
-    /// The configuration for a peer that has `have`.
+    /// What a peer that has `have` lacks of the configuration.
     pub fn config_for(&self, have: u64) -> Option<(u64, String)> {
-        let config = self.view.current();
-        (config.offset > have).then(|| (config.offset, config.encode()))
+        let news = self.view.news_since(have)?;
+        let body = serde_json::to_string(&news).expect("news always encode");
+        Some((self.view.offset(), body))
     }
 
     /// Waits until the fold reached `offset`, at most `wait_ms`.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -14,7 +14,7 @@
 pub use error::StoreError;
 pub use follow::{CONFIG_STREAM, claim_stream, follow, follow_config};
 pub use live::{Instance, InstanceState, LiveList, Role};
-pub use view::{ConfigView, Health};
+pub use view::{ConfigNews, ConfigView, Health};
 
 /// Stream that bills are appended to.
 pub const BILL_STREAM: &str = "bills";
--- a/crates/store/src/view.rs
+++ b/crates/store/src/view.rs
@@ -1,12 +1,16 @@
 //! The configuration in force, shared within a process, and its freshness.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use clock::Millis;
 use config::Config;
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 /// What is known of how fresh the configuration is.
@@ -37,10 +41,27 @@
     }
 }
 
+/// Records that are kept for peers that lag a little behind.
+const RECENT_RECORDS: usize = 512;
+
+/// What a process gives a peer that knows less.
+///
+/// The records that it lacks, as long as they are still kept; a whole
+/// configuration is thousands of times larger.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigNews {
+    /// The records that it lacks, with their offsets.
+    Records(Vec<(u64, String)>),
+    /// All there is.
+    Whole(Box<Config>),
+}
+
 /// The configuration that a process works by.
 #[derive(Debug)]
 pub struct ConfigView {
     current: Mutex<Arc<Config>>,
+    recent: Mutex<VecDeque<(u64, String)>>,
     offset: watch::Sender<u64>,
     /// When the log, or a peer that lately read it, was last heard; 0 never.
     heard_ms: AtomicU64,
@@ -50,6 +71,7 @@
     fn default() -> Self {
         ConfigView {
             current: Mutex::new(Arc::new(Config::default())),
+            recent: Mutex::default(),
             offset: watch::Sender::new(0),
             heard_ms: AtomicU64::new(0),
         }
@@ -74,12 +96,57 @@
     /// Folds one record into the configuration in force.
     pub fn apply(&self, offset: u64, body: &str) {
         let mut current = self.lock();
+        let before = current.offset;
         Arc::make_mut(&mut current).apply(offset, body);
         let next = current.offset;
         drop(current);
+        if next > before {
+            let mut recent = self.lock_recent();
+            recent.push_back((offset, body.to_owned()));
+            if recent.len() > RECENT_RECORDS {
+                recent.pop_front();
+            }
+        }
         self.offset.send_replace(next);
     }
 
+    fn lock_recent(&self) -> MutexGuard<'_, VecDeque<(u64, String)>> {
+        self.recent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What a peer whose next offset is `have` lacks, if anything.
+    pub fn news_since(&self, have: u64) -> Option<ConfigNews> {
+        let config = self.current();
+        if config.offset <= have {
+            return None;
+        }
+        let recent = self.lock_recent();
+        let wanted = recent.iter().filter(|(offset, _)| *offset >= have);
+        let records: Vec<(u64, String)> = wanted.cloned().collect();
+        let unbroken = records.len() as u64 == config.offset - have;
+        if unbroken {
+            return Some(ConfigNews::Records(records));
+        }
+        Some(ConfigNews::Whole(Box::new((*config).clone())))
+    }
+
+    /// Takes what a peer gave.
+    pub fn take_news(&self, news: ConfigNews) {
+        match news {
+            ConfigNews::Records(records) => {
+                for (offset, body) in records {
+                    // A gap would hide a change; the log will fill it.
+                    if offset == self.offset() {
+                        self.apply(offset, &body);
+                    }
+                }
+            }
+            ConfigNews::Whole(config) => {
+                self.install(*config);
+            }
+        }
+    }
+
     /// Takes a whole configuration, unless it is older: what is in force never
     /// reverts.  Tells whether it was taken.
     pub fn install(&self, config: Config) -> bool {
@@ -90,6 +157,7 @@
         let next = config.offset;
         *current = Arc::new(config);
         drop(current);
+        self.lock_recent().clear();
         self.offset.send_replace(next);
         true
     }
