--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -4,7 +4,7 @@
 
 use bill::Line;
 use bytes::Bytes;
-use claim::{Claim, ClaimEvent, ClaimState, Ending, claim_id};
+use claim::{Claim, ClaimEvent, ClaimState, Ending, Standing, claim_id};
 use gate::{Admitted, Permit, Reason, Started};
 use log::warn;
 use telemetry::Event;
@@ -89,8 +89,8 @@
         .node
         .metrics
         .time_ms("claim", agent.now().since(asked_at));
-    match book.state(team, key) {
-        ClaimState::Running { claim } if claim == own => {
+    match book.standing(team, key, &own.id()) {
+        Standing::Won => {
             let permit = permit.claimed(asked_at);
             let started = agent.with_gate(|gate, cx| gate.start_claimed(permit, cx));
             started.map_err(|reason| {
@@ -98,8 +98,12 @@
                 Unclaimed::Refused(reason)
             })
         }
-        ClaimState::Free => Err(refuse(agent, dispatch, Reason::Tombstoned)),
-        known => Err(Unclaimed::Known(known)),
+        Standing::Voided | Standing::Unseen => {
+            Err(refuse(agent, dispatch, Reason::Tombstoned))
+        }
+        Standing::Taken | Standing::Ended { .. } => {
+            Err(Unclaimed::Known(book.state(team, key)))
+        }
     }
 }
 
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -180,6 +180,28 @@
     },
 }
 
+/// Where one attempt's claim stands, as far as the reader has read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Neither it nor another claim on the key was read.
+    Unseen,
+    /// It can never win any more: its call did not run and will not.
+    Voided,
+    /// It won; its holder may start the call, or has.
+    Won,
+    /// It won, and its call ended so.
+    Ended {
+        /// How it ended.
+        ending: Ending,
+        /// HTTP status of the answer.
+        status: u16,
+        /// The answer, empty if it was too large to keep.
+        answer: String,
+    },
+    /// Another claim has the key.
+    Taken,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct KeyEntry {
     claim: Option<Claim>,
@@ -322,6 +344,30 @@
         entry.is_some_and(|entry| entry.voided.iter().any(|id| id == claim_id))
     }
 
+    /// Where an attempt's claim stands.  Both sides go by this: the holder
+    /// starts its call only on [`Standing::Won`], and a caller is told "not
+    /// run" only on [`Standing::Voided`].
+    pub fn standing(&self, team: &str, key: &str, claim_id: &str) -> Standing {
+        if self.is_voided(team, key, claim_id) {
+            return Standing::Voided;
+        }
+        match self.state(team, key) {
+            ClaimState::Free => Standing::Unseen,
+            ClaimState::Running { claim } if claim.id() == claim_id => Standing::Won,
+            ClaimState::Ended {
+                claim,
+                ending,
+                status,
+                answer,
+            } if claim.id() == claim_id => Standing::Ended {
+                ending,
+                status,
+                answer,
+            },
+            _ => Standing::Taken,
+        }
+    }
+
     /// Version that a session is bound to.
     pub fn binding(&self, team: &str, session: &str, model: &str) -> Option<&str> {
         let key = (team.to_owned(), session.to_owned(), model.to_owned());
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -4,7 +4,7 @@
 
 use bill::{Bill, Line};
 use bytes::Bytes;
-use claim::{ClaimEvent, ClaimState, Ending, claim_id};
+use claim::{ClaimEvent, ClaimState, Ending, Standing, claim_id};
 use clock::{Clock, Millis};
 use config::{ServiceSpec, TeamSpec};
 use log::info;
@@ -177,6 +177,7 @@
             request_id: request.request_id.clone(),
             attempt: number,
         };
+        let holder = entry.runners().instance_of(runner);
         entry.runners().sent(runner);
         let mut attempted = attempt(entry, request, runner, &id, agents).await;
         let now = entry.node.now();
@@ -191,7 +192,7 @@
         if let Attempted::Lost(agent) = attempted
             && !request.service.idempotent
         {
-            attempted = resolve(entry, request, &id, agent).await;
+            attempted = resolve(entry, request, &id, agent, &holder).await;
         }
         match attempted {
             Attempted::Whole(answer) => return Ok(answer),
@@ -380,28 +381,26 @@
     request: &ServiceRequest,
     id: &AttemptId,
     agent: SocketAddr,
+    holder: &str,
 ) -> Attempted {
     let (team, key) = (&request.team.name, &request.key);
     let claims = &entry.node.claims;
     let own = claim_id(&id.request_id, id.attempt);
     loop {
-        if claims.is_voided(team, key, &own) {
-            return Attempted::NotRun(unreachable());
-        }
-        match claims.state(team, key) {
-            ClaimState::Running { claim } if claim.id() == own => {
-                let reachable = is_heard(entry, agent, &claim.holder);
+        match claims.standing(team, key, &own) {
+            Standing::Voided => return Attempted::NotRun(unreachable()),
+            Standing::Won => {
+                let reachable = is_heard(entry, agent, holder);
                 if !reachable || entry.node.now() >= request.deadline {
                     return Attempted::Unknown;
                 }
                 tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
             }
-            ClaimState::Ended {
-                claim,
+            Standing::Ended {
                 ending: Ending::Done,
                 status,
                 answer,
-            } if claim.id() == own && !answer.is_empty() => {
+            } if !answer.is_empty() => {
                 let body = Bytes::from(answer);
                 let answer = ServiceAnswer {
                     status,
@@ -410,10 +409,8 @@
                 };
                 return Attempted::Whole(answer);
             }
-            ClaimState::Ended { claim, .. } if claim.id() == own => {
-                return Attempted::Unknown;
-            }
-            _ => {
+            Standing::Ended { .. } => return Attempted::Unknown,
+            Standing::Unseen | Standing::Taken => {
                 let void = ClaimEvent::Void {
                     team: team.clone(),
                     key: key.clone(),
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use claim::{ClaimEvent, ClaimRecord, ClaimState, Claims};
+use claim::{ClaimEvent, ClaimRecord, ClaimState, Claims, Standing};
 use clock::{Clock, Millis};
 use displaydoc::Display;
 use log::debug;
@@ -71,9 +71,9 @@
         lock(&self.partition(team, key).claims).state(team, key)
     }
 
-    /// Whether a claim can never win its key any more.
-    pub fn is_voided(&self, team: &str, key: &str, claim_id: &str) -> bool {
-        lock(&self.partition(team, key).claims).is_voided(team, key, claim_id)
+    /// Where an attempt's claim stands, as far as this process has read.
+    pub fn standing(&self, team: &str, key: &str, claim_id: &str) -> Standing {
+        lock(&self.partition(team, key).claims).standing(team, key, claim_id)
     }
 
     /// Version that a session is bound to.
--- a/crates/route/src/runners.rs
+++ b/crates/route/src/runners.rs
@@ -197,6 +197,13 @@
             .map(|(key, _)| *key)
     }
 
+    /// Instance at an address, empty if there is none.
+    pub fn instance_of(&self, key: RunnerKey) -> String {
+        self.table
+            .get(&key)
+            .map_or(String::new(), |runner| runner.report.instance.clone())
+    }
+
     /// Whether work may be sent to an instance now.
     pub fn takes_work(&self, instance: &str, now: Millis, silence_ms: u64) -> bool {
         let mut all = self.table.values();
