--- a/crates/bench/src/plot.rs
+++ b/crates/bench/src/plot.rs
@@ -1,1 +1,57 @@
-//! x
+//! Plots of answers a second, as SVG.
+
+use std::{collections::BTreeMap, path::Path};
+
+use plotters::prelude::*;
+
+/// Size of a plot, pixels.
+const SIZE: (u32, u32) = (900, 360);
+
+/// Draws one line for each variant.
+pub fn answers_per_second(
+    file: &Path,
+    title: &str,
+    series: &[(&str, &BTreeMap<u64, u64>)],
+) -> Result<(), String> {
+    draw(file, title, series).map_err(|err| err.to_string())
+}
+
+fn draw(
+    file: &Path,
+    title: &str,
+    series: &[(&str, &BTreeMap<u64, u64>)],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let seconds = series
+        .iter()
+        .filter_map(|(_, points)| points.keys().max())
+        .max();
+    let most = series
+        .iter()
+        .filter_map(|(_, points)| points.values().max())
+        .max();
+    let (seconds, most) = (seconds.copied().unwrap_or(1), most.copied().unwrap_or(1));
+    let root = SVGBackend::new(file, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(40)
+        .build_cartesian_2d(0..seconds, 0..most + most / 10 + 1)?;
+    let caption = series
+        .iter()
+        .map(|(name, _)| *name)
+        .collect::<Vec<_>>()
+        .join(", ");
+    chart
+        .configure_mesh()
+        .x_desc(format!("{title}: seconds ({caption})"))
+        .y_desc("answers a second")
+        .draw()?;
+    for (at, (_, points)) in series.iter().enumerate() {
+        let color = Palette99::pick(at).to_rgba();
+        let line = points.iter().map(|(second, count)| (*second, *count));
+        chart.draw_series(LineSeries::new(line, color.stroke_width(1)))?;
+    }
+    root.present()?;
+    Ok(())
+}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -182,10 +182,11 @@
         }
         let target = Target::Version(&name);
         let picked = {
+            let settings = entry.pick_settings();
             let mut rng = entry.rng();
             entry
                 .runners()
-                .pick(target, &tried, &entry.pick, now, &mut *rng)
+                .pick(target, &tried, &settings, now, &mut *rng)
         };
         let runner = match picked {
             Ok(runner) => runner,
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -162,11 +162,12 @@
             break;
         }
         let picked = {
+            let settings = entry.pick_settings();
             let mut rng = entry.rng();
             let target = Target::Service(&request.service.name);
             entry
                 .runners()
-                .pick(target, &tried, &entry.pick, now, &mut *rng)
+                .pick(target, &tried, &settings, now, &mut *rng)
         };
         let runner = match picked {
             Ok(runner) => runner,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -57,6 +57,7 @@
             balance: Balance::from_setting(&settings.entry.balance),
             here,
             silence_ms: settings.entry.silence_ms,
+            entries: 1,
         };
         Entry {
             tickets: TicketKeys::new(&settings.secrets.ticket_keys),
@@ -170,6 +171,16 @@
         found
     }
 
+    /// What the choice of a runner goes by now.
+    pub(crate) fn pick_settings(&self) -> PickSettings {
+        let now = self.node.now();
+        let others = self.node.peers().live_entries(now, self.pick.silence_ms);
+        PickSettings {
+            entries: 1 + others,
+            ..self.pick.clone()
+        }
+    }
+
     /// This entry's part of what all entries share.
     pub(crate) fn share(&self, target: Option<Target<'_>>) -> Share {
         let now = self.node.now();
--- a/crates/route/src/runners.rs
+++ b/crates/route/src/runners.rs
@@ -145,6 +145,8 @@
     pub here: Locality,
     /// Silence after which a runner is not chosen, ms.
     pub silence_ms: u64,
+    /// Live entries, this one included; 0 counts as 1.
+    pub entries: u32,
 }
 
 /// No runner can take the work now.
@@ -401,13 +403,20 @@
         corrected.max(0) as f64
     }
 
+    /// Attempts on it as this entry expects: half by the report, which lags,
+    /// and half by its own, taken as one entry's part of them all.
+    fn expected_load(&self, entries: u32) -> f64 {
+        let own = f64::from(self.inflight) * f64::from(entries.max(1));
+        (self.load() + own) / 2.0
+    }
+
     fn cost(&self, settings: &PickSettings, now: Millis) -> f64 {
         let slots = f64::from(self.report.slots.max(1));
         if settings.balance == Balance::TwoChoice {
             let reported = f64::from(self.report.running + self.report.queued);
             return reported / slots;
         }
-        let load = self.load();
+        let load = self.expected_load(settings.entries);
         let waiting = (load + 1.0 - slots).max(0.0);
         let wait_ms = waiting / slots * self.service_ms;
         // Below saturation an emptier engine still generates a little faster.
