Share agents out among many entries; test the core and the interfaces by feature

Change: with more agents than `entry.greet_max`, each agent is greeted by the few entries that score highest for it by a hash of both names, two at least; a replaced entry moves only its own share. Agents beside engines no longer follow the claims. Ruled out: a ring (a replaced entry shifts everyone) and an agreed assignment (needs a store).

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -12,6 +12,7 @@
 use claim::{Claim, ClaimRecord, Claims};
 use config::{Change, ChangeRecord, Config, ModelSpec, TeamSpec, VersionSpec};
 use route::{Locality, PickSettings, Report, Runners, Target};
+use store::{Instance, InstanceState, Role};
 use tokio::{net::TcpListener, task::LocalSet};
 use wire::{Hello, Hub, PeerHandler};
 
@@ -40,6 +41,33 @@
     claim_fold();
     bill_records();
     runner_choice();
+    subset_cost();
+}
+
+/// Cost of an entry's choice of the agents that it greets, and how many they
+/// are.
+fn subset_cost() {
+    let mut points = Vec::new();
+    for agents in [500_usize, 1_000, 2_000, 4_500] {
+        let entries = agents * 550 / 4_500;
+        let instance = |role, at: usize| Instance {
+            name: format!("{role:?}-{at}"),
+            role,
+            room: format!("room-{}", at % 6),
+            address: SocketAddr::from(([10, 1, (at / 250) as u8, (at % 250) as u8], 1)),
+            state: InstanceState::Live,
+        };
+        let mut list: Vec<Instance> =
+            (0..entries).map(|at| instance(Role::Entry, at)).collect();
+        list.extend((0..agents).map(|at| instance(Role::Agent, at)));
+        let started = Instant::now();
+        let greeted = node::subset(&list, list[0].address, 20).len();
+        points.push((agents as f64, started.elapsed().as_secs_f64() * 1e6));
+        println!(
+            "subset of {agents} agents for one of {entries} entries: {greeted} greeted"
+        );
+    }
+    report("subset", "agents", "us a change of the list", &points);
 }
 
 struct Stub;
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -11,7 +11,7 @@
 use store::{Instance, Role};
 use wire::Hello;
 
-use crate::{Kind, Node};
+use crate::{Kind, Node, subset};
 
 /// Heartbeats between two reads of the live list.
 const LIST_EVERY: u64 = 2;
@@ -22,6 +22,9 @@
 /// An agent greets entries more rarely, since they greet it.
 const AGENT_FACTOR: u64 = 4;
 
+/// Entries that an agent greets by itself; the others greet it.
+const AGENT_PEERS: usize = 3;
+
 /// What came of one heartbeat.
 #[derive(Clone, Debug)]
 pub enum Heard {
@@ -35,9 +38,17 @@
 #[derive(Debug, Default)]
 struct Known {
     listed: BTreeSet<SocketAddr>,
+    targets: BTreeSet<SocketAddr>,
     greeted: BTreeSet<SocketAddr>,
 }
 
+impl Known {
+    /// Whether a process is listed, but greeted by others now.
+    fn is_others(&self, address: SocketAddr) -> bool {
+        self.listed.contains(&address) && !self.targets.contains(&address)
+    }
+}
+
 /// Reads the live list for ever and greets each process on it in a task of
 /// its own, so that a silent one holds up no other's heartbeat.
 pub(crate) async fn run<H>(node: Arc<Node>, heard: H)
@@ -50,9 +61,12 @@
     loop {
         let mut fresh: Vec<SocketAddr> = node.settings.process.peers.clone();
         if let Ok(list) = node.store.instances().await {
-            let listed = targets(node.kind, &list.instances);
-            fresh.extend(listed.iter().copied());
-            lock(&known).listed = listed.into_iter().collect();
+            let targets = targets(&node, &list.instances);
+            fresh.extend(targets.iter().copied());
+            let listed = list.instances.iter().map(|instance| instance.address);
+            let mut known = lock(&known);
+            known.listed = listed.collect();
+            known.targets = targets.into_iter().collect();
         }
         for address in fresh {
             let is_new =
@@ -103,11 +117,14 @@
                 hello.address = address.to_string();
                 heard(Heard::Reply(address, Box::new(hello.clone())));
                 node.take_hello(&hello, Some(asked_at)).await;
+                if lock(&known).is_others(address) {
+                    break;
+                }
             }
             Err(err) => {
                 debug!("event=heartbeat_lost peer={address} why=\"{err}\"");
                 let named = node.settings.process.peers.contains(&address);
-                if !named && !lock(&known).listed.contains(&address) {
+                if !named && !lock(&known).targets.contains(&address) {
                     break;
                 }
             }
@@ -119,12 +136,19 @@
     heard(Heard::Gone(address));
 }
 
-fn targets(kind: Kind, instances: &[Instance]) -> Vec<SocketAddr> {
-    let wanted = instances.iter().filter(|instance| match kind {
-        Kind::Entry => true,
-        Kind::Agent => instance.role == Role::Entry,
-    });
-    wanted.map(|instance| instance.address).collect()
+fn targets(node: &Node, instances: &[Instance]) -> Vec<SocketAddr> {
+    match node.kind {
+        Kind::Entry => subset(instances, node.address, node.settings.entry.greet_max),
+        Kind::Agent => {
+            let entries = instances
+                .iter()
+                .filter(|instance| instance.role == Role::Entry);
+            entries
+                .map(|entry| entry.address)
+                .take(AGENT_PEERS)
+                .collect()
+        }
+    }
 }
 
 impl Node {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod health;
 mod heartbeat;
 mod peers;
+mod subset;
 
 use std::{
     net::SocketAddr,
@@ -29,6 +30,7 @@
 pub use health::{Fold, PeerNews, judge};
 pub use heartbeat::Heard;
 pub use peers::{Peer, Peers};
+pub use subset::subset;
 
 /// What kind of process a node is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -115,11 +117,19 @@
             self.settings.store.poll_wait_ms,
             clock,
         ));
-        claims::spawn(self);
+        if self.needs_claims() {
+            claims::spawn(self);
+        }
         tokio::spawn(bills::run(self.clone()));
         tokio::spawn(heartbeat::run(self.clone(), heard));
     }
 
+    /// Whether this process judges or shows claims and bindings: an agent
+    /// beside an engine never does.
+    fn needs_claims(&self) -> bool {
+        self.kind == Kind::Entry || !self.settings.agent.service.is_empty()
+    }
+
     /// Now, on this process's clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
--- a/crates/settings/src/faults.rs
+++ b/crates/settings/src/faults.rs
@@ -67,6 +67,16 @@
     },
 }
 
+impl Fault {
+    /// Whether it is a bad value of a key.
+    pub(crate) fn is_about(&self, section: &str, name: &str) -> bool {
+        match self {
+            Fault::BadValue { key, .. } => *key == format!("{section}.{name}"),
+            _ => false,
+        }
+    }
+}
+
 /// All faults of a settings file.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Faults(pub Vec<Fault>);
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -274,6 +274,13 @@
         number(20, 60_000),
         "Time between heartbeats to an agent.",
     ),
+    key(
+        "entry",
+        "greet_max",
+        "64",
+        number(4, 10_000),
+        "Agents that an entry greets; with more, each agent has its few entries.",
+    ),
     key(
         "entry",
         "silence_ms",
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -115,6 +115,8 @@
     pub streams_max: usize,
     /// Time between heartbeats, ms.
     pub heartbeat_ms: u64,
+    /// Agents that an entry greets.
+    pub greet_max: usize,
     /// Silence that ends a connection, ms.
     pub silence_ms: u64,
     /// Time without a token that moves an attempt, ms.
@@ -218,7 +220,8 @@
         Role::Agent => vec![("process", "room"), ("agent", "endpoint")],
     };
     for (section, key) in required {
-        if raw.text(section, key).is_empty() {
+        let is_told = faults.iter().any(|fault| fault.is_about(section, key));
+        if raw.text(section, key).is_empty() && !is_told {
             faults.push(raw.bad_value(section, key, "", "set, and it must be"));
         }
     }
@@ -318,6 +321,7 @@
         headers_max: number("headers_max") as usize,
         streams_max: number("streams_max") as usize,
         heartbeat_ms: number("heartbeat_ms"),
+        greet_max: number("greet_max") as usize,
         silence_ms: number("silence_ms"),
         stall_ms: number("stall_ms"),
         attempts_max: number("attempts_max") as u32,
--- /dev/null
+++ b/tests/health.rs
@@ -0,0 +1,57 @@
+//! The table of cases: store down for all, or this process cut off.
+
+use node::{Fold, PeerNews, judge};
+use settings::Settings;
+use store::Health;
+
+fn peer(room: &str, log_age_ms: u64) -> PeerNews {
+    PeerNews {
+        room: room.into(),
+        log_age_ms,
+    }
+}
+
+fn judged(fold: Fold, own_age_ms: u64, peers: &[PeerNews]) -> Health {
+    let mut store = Settings::default().store;
+    store.stale_after_ms = 10_000;
+    store.known_rooms = 3;
+    judge("a", fold, own_age_ms, peers, &store)
+}
+
+#[test]
+fn cases() {
+    let old = 60_000;
+    let ready = Fold::Ready;
+    let table = [
+        ("hears the log", judged(ready, 5_000, &[]), Health::Fresh),
+        ("alone", judged(ready, old, &[]), Health::CutOff),
+        (
+            "own room only",
+            judged(ready, old, &[peer("a", old)]),
+            Health::CutOff,
+        ),
+        (
+            "two rooms of three",
+            judged(ready, old, &[peer("b", old)]),
+            Health::StoreDown,
+        ),
+        (
+            "a peer hears the log",
+            judged(ready, old, &[peer("b", 100)]),
+            Health::CutOff,
+        ),
+        (
+            "no configuration",
+            judged(Fold::Empty, u64::MAX, &[peer("b", old)]),
+            Health::Empty,
+        ),
+        (
+            "newer record",
+            judged(Fold::Blocked, old, &[peer("b", old)]),
+            Health::CutOff,
+        ),
+    ];
+    for (case, judged, wanted) in table {
+        assert_eq!(judged, wanted, "{case}");
+    }
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,51 @@
+//! The platform's log as the client sees it, and its stand-in.
+
+use standin::LogService;
+use store::{Store, StoreError};
+
+async fn log_and_client() -> (LogService, Store) {
+    let log = LogService::start().await;
+    let store = Store::new(log.address, log.address, 300);
+    (log, store)
+}
+
+#[tokio::test]
+async fn records_come_back_in_offset_order() {
+    let (_log, store) = log_and_client().await;
+    for at in 0..3 {
+        assert_eq!(store.append("s", &format!("r{at}")).await, Ok(at));
+    }
+    let page = store.read("s", 1, 10, 0).await.expect("it is up");
+    let bodies: Vec<&str> = page
+        .records
+        .iter()
+        .map(|record| record.body.as_str())
+        .collect();
+    assert_eq!((page.next, bodies), (3, vec!["r1", "r2"]));
+}
+
+#[tokio::test]
+async fn lost_answer_is_told_from_a_refusal() {
+    let (log, store) = log_and_client().await;
+    log.faults(|faults| faults.lose_acks = 1);
+    let lost = store.append("s", "r0").await.expect_err("no answer came");
+    assert!(lost.is_unknown());
+    assert_eq!(log.records("s").len(), 1, "it took effect all the same");
+    log.faults(|faults| faults.down = true);
+    let refused = store.append("s", "r1").await;
+    assert_eq!(refused, Err(StoreError::Unavailable));
+    assert!(!StoreError::Unavailable.is_unknown());
+}
+
+#[tokio::test]
+async fn expired_records_are_told() {
+    let (log, store) = log_and_client().await;
+    for at in 0..5 {
+        log.append("s", &format!("r{at}"));
+    }
+    log.trim("s", 3);
+    assert_eq!(
+        store.read("s", 1, 10, 0).await,
+        Err(StoreError::Trimmed { first: 3 })
+    );
+}
--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,185 @@
+//! The choice of a runner, and the budget of retries.
+
+use std::net::SocketAddr;
+
+use clock::Millis;
+use rand::{SeedableRng, rngs::StdRng};
+use route::{
+    Balance, Locality, NoRunner, Outcome, PickSettings, Report, RetryBudget, Runners,
+    Target,
+};
+
+const TARGET: Target<'static> = Target::Version("draft@v1");
+
+fn key(at: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, at], 1))
+}
+
+fn report(room: &str, running: u32) -> Report {
+    Report {
+        instance: "i".into(),
+        locality: Locality {
+            room: room.into(),
+            region: "r".into(),
+        },
+        versions: ["draft@v1".to_owned()].into(),
+        slots: 8,
+        running,
+        ..Report::default()
+    }
+}
+
+fn settings() -> PickSettings {
+    PickSettings {
+        balance: Balance::Predicted,
+        here: Locality {
+            room: "a".into(),
+            region: "r".into(),
+        },
+        silence_ms: 1_000,
+        entries: 1,
+    }
+}
+
+fn picks(runners: &mut Runners, now: Millis, count: usize) -> Vec<SocketAddr> {
+    let mut rng = StdRng::seed_from_u64(7);
+    let pick = |_| runners.pick(TARGET, &[], &settings(), now, &mut rng).ok();
+    (0..count).filter_map(pick).collect()
+}
+
+#[test]
+fn leaving_silent_and_unfit_runners_get_nothing() {
+    let mut runners = Runners::default();
+    let now = Millis(10_000);
+    runners.heard(key(1), report("a", 0), now);
+    runners.heard(
+        key(2),
+        Report {
+            leaving: true,
+            ..report("a", 0)
+        },
+        now,
+    );
+    runners.heard(key(3), report("a", 0), Millis(8_000));
+    runners.heard(
+        key(4),
+        Report {
+            versions: Default::default(),
+            ..report("a", 0)
+        },
+        now,
+    );
+    assert!(
+        picks(&mut runners, now, 50)
+            .iter()
+            .all(|picked| *picked == key(1))
+    );
+    runners.leaving(key(1));
+    let mut rng = StdRng::seed_from_u64(7);
+    let none = runners.pick(TARGET, &[], &settings(), now, &mut rng);
+    assert_eq!(none, Err(NoRunner::NoneReachable));
+    let unknown = Target::Version("draft@v9");
+    let none = runners.pick(unknown, &[], &settings(), now, &mut rng);
+    assert_eq!(none, Err(NoRunner::NoneLoaded));
+}
+
+#[test]
+fn replaced_instance_on_the_same_address_starts_afresh() {
+    let mut runners = Runners::default();
+    let now = Millis(10_000);
+    runners.heard(
+        key(1),
+        Report {
+            leaving: true,
+            ..report("a", 0)
+        },
+        now,
+    );
+    runners.heard(
+        key(1),
+        Report {
+            instance: "j".into(),
+            ..report("a", 0)
+        },
+        now,
+    );
+    assert_eq!(picks(&mut runners, now, 1), vec![key(1)]);
+}
+
+#[test]
+fn failing_runner_is_ejected_but_not_the_last_half() {
+    let mut runners = Runners::default();
+    let now = Millis(10_000);
+    for at in 1..=2 {
+        runners.heard(key(at), report("a", 0), now);
+    }
+    for _ in 0..3 {
+        runners.sent(key(1));
+        runners.ended(key(1), Outcome::Bad, now);
+    }
+    assert!(
+        picks(&mut runners, now, 50)
+            .iter()
+            .all(|picked| *picked == key(2))
+    );
+    for _ in 0..3 {
+        runners.sent(key(2));
+        runners.ended(key(2), Outcome::Bad, now);
+    }
+    // With all of them ejected the fault is elsewhere: they are used again.
+    let both: std::collections::BTreeSet<_> =
+        picks(&mut runners, now, 50).into_iter().collect();
+    assert_eq!(both.len(), 2);
+}
+
+#[test]
+fn emptier_and_nearer_runner_is_preferred() {
+    let mut runners = Runners::default();
+    let now = Millis(10_000);
+    runners.heard(key(1), report("a", 8), now);
+    runners.heard(key(2), report("a", 0), now);
+    let later = now.plus(500);
+    assert!(
+        picks(&mut runners, later, 50)
+            .iter()
+            .all(|picked| *picked == key(2))
+    );
+    let mut rooms = Runners::default();
+    rooms.heard(key(1), report("b", 0), now);
+    rooms.heard(key(2), report("a", 0), now);
+    assert!(
+        picks(&mut rooms, later, 50)
+            .iter()
+            .all(|picked| *picked == key(2))
+    );
+}
+
+#[test]
+fn tried_runners_are_left_out_while_others_remain() {
+    let mut runners = Runners::default();
+    let now = Millis(10_000);
+    for at in 1..=2 {
+        runners.heard(key(at), report("a", 0), now);
+    }
+    let mut rng = StdRng::seed_from_u64(7);
+    for _ in 0..20 {
+        let next = runners.pick(TARGET, &[key(1)], &settings(), now, &mut rng);
+        assert_eq!(next, Ok(key(2)));
+    }
+    let all = runners.pick(TARGET, &[key(1), key(2)], &settings(), now, &mut rng);
+    assert!(all.is_ok());
+}
+
+#[test]
+fn retries_stay_a_share_of_first_attempts() {
+    let mut budget = RetryBudget::new(10);
+    let now = Millis(1_000);
+    for _ in 0..1_000 {
+        budget.first_attempt(now);
+    }
+    let granted = (0..1_000).filter(|_| budget.try_retry(now)).count();
+    assert!((100..=103).contains(&granted), "{granted}");
+    let mut none = RetryBudget::new(0);
+    none.first_attempt(now);
+    assert!(!none.try_retry(now));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,8 +1,25 @@
 //! Integration tests, by feature.
 //!
 //! Scenarios under `tests/scenarios` drive real processes through a small
-//! language; see `tests/util/script.rs`.
+//! language; see `tests/util/script.rs`.  The other files test the decision
+//! core and the interfaces.
 
 mod util;
 
+mod admission;
+mod bad_input;
+mod claims;
+mod command_line;
+mod configuration;
+mod gate;
+mod golden;
+mod health;
+mod platform;
+mod rollout;
+mod routing;
 mod scenarios;
+mod sessions;
+mod settings;
+mod subset;
+mod telemetry;
+mod wire;
--- a/tests/util/script.rs
+++ b/tests/util/script.rs
@@ -130,7 +130,7 @@
         if out.is_empty() { "ok\n".into() } else { out }
     }
 
-    async fn command(&mut self, line: &str) -> String {
+    pub async fn command(&mut self, line: &str) -> String {
         let line = line.trim();
         if line.is_empty() || line.starts_with('#') {
             return String::new();
