--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -4,7 +4,7 @@
 use std::{fs, path::Path};
 
 use config::Gate;
-use route::{Balance, CascadePolicy};
+use route::{Balance, CascadePolicy, Weights};
 use serde_json::json;
 
 use crate::{
@@ -22,8 +22,6 @@
     room_ms: 1,
     caller_ms: 1,
     rate: 22.0,
-    micros_per_ms: 0.02,
-    gate_margin: 0.10,
 };
 
 const PALERMO: Deployment = Deployment {
@@ -33,78 +31,93 @@
     room_ms: 2,
     caller_ms: 3,
     rate: 25.0,
-    micros_per_ms: 0.2,
-    gate_margin: 0.20,
 };
 
-const OURS: Variant = Variant {
-    name: "ours",
-    balance: Balance::Predicted,
-    cascade: CascadePolicy::Learned,
-    gate: Gate::Sequential,
-    retry_percent: 10,
-    fair: true,
-};
+/// Our decisions, by what the deployment's user weighs most.
+fn ours(weights: Weights) -> Variant {
+    Variant {
+        name: "ours",
+        balance: Balance::Predicted,
+        cascade: CascadePolicy::Learned,
+        gate: Gate::Sequential,
+        retry_percent: 10,
+        weights,
+        fair: true,
+    }
+}
 
 /// Situations and the baselines that each is held against.
-fn experiments() -> Vec<(Situation, Vec<Variant>)> {
+fn experiments(ours: Variant) -> Vec<(Situation, Vec<Variant>)> {
     let round_robin = Variant {
         name: "round_robin",
         balance: Balance::RoundRobin,
-        ..OURS
+        ..ours
     };
     let two_choice = Variant {
         name: "two_choice",
         balance: Balance::TwoChoice,
-        ..OURS
+        ..ours
     };
     let dearest = Variant {
         name: "always_dear",
         cascade: CascadePolicy::Dearest,
-        ..OURS
+        ..ours
     };
     let always = Variant {
         name: "always_cheap_first",
         cascade: CascadePolicy::Always,
-        ..OURS
+        ..ours
     };
     let fixed = Variant {
         name: "fixed_steps",
         gate: Gate::Fixed,
-        ..OURS
+        ..ours
     };
     let no_budget = Variant {
         name: "no_budget",
         retry_percent: 1_000,
-        ..OURS
+        ..ours
     };
     let unfair = Variant {
         name: "no_share",
         fair: false,
-        ..OURS
+        ..ours
+    };
+    let exposure = Variant {
+        name: "by_exposure",
+        weights: Weights::exposure(),
+        ..ours
+    };
+    let latency = Variant {
+        name: "by_latency",
+        weights: Weights::latency(),
+        ..ours
     };
     vec![
         (
             Situation::Steady,
-            vec![OURS, dearest, always, round_robin, two_choice],
+            vec![ours, dearest, always, round_robin, two_choice],
         ),
-        (Situation::Overload, vec![OURS, unfair]),
-        (Situation::RoomLost, vec![OURS, round_robin, no_budget]),
-        (Situation::BadVersion, vec![OURS, fixed]),
-        (Situation::BadForOneTeam, vec![OURS, fixed]),
-        (Situation::BadSlowly, vec![OURS, fixed]),
-        (Situation::BadRaterSilent, vec![OURS, fixed]),
-        (Situation::GoodVersion, vec![OURS, fixed]),
-        (Situation::Outage, vec![OURS, no_budget]),
+        (Situation::Overload, vec![ours, unfair]),
+        (Situation::RoomLost, vec![ours, round_robin, no_budget]),
+        (Situation::BadVersion, vec![ours, fixed, exposure, latency]),
+        (Situation::BadForOneTeam, vec![ours, fixed]),
+        (Situation::BadSlowly, vec![ours, fixed, exposure, latency]),
+        (Situation::BadRaterSilent, vec![ours, fixed]),
+        (Situation::GoodVersion, vec![ours, fixed, exposure, latency]),
+        (Situation::Outage, vec![ours, no_budget]),
         (
             Situation::LaggingReports,
-            vec![OURS, round_robin, two_choice],
+            vec![ours, round_robin, two_choice],
         ),
         (
             Situation::LaggingOneSlow,
-            vec![OURS, round_robin, two_choice],
+            vec![ours, round_robin, two_choice],
+        ),
+        (
+            Situation::PassRateShift,
+            vec![ours, always, dearest, exposure, latency],
         ),
-        (Situation::PassRateShift, vec![OURS, always, dearest]),
     ]
 }
 
@@ -120,8 +133,12 @@
 /// plots to a folder.
 pub fn run(seed: u64, dir: &Path) {
     let mut rows = Vec::new();
-    for plant in [COOPERATIVE, PALERMO] {
-        for (situation, variants) in experiments() {
+    let plants = [
+        (COOPERATIVE, Weights::exposure()),
+        (PALERMO, Weights::latency()),
+    ];
+    for (plant, weights) in plants {
+        for (situation, variants) in experiments(ours(weights)) {
             for variant in variants {
                 let out = Sim::run(plant, situation, variant, DURATION_MS, seed);
                 rows.push(Row {
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -20,9 +20,9 @@
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{
-    Admission, Balance, CascadePolicy, GateInput, GateSettings, GateVerdict, Locality,
-    Outcome, PassRates, PickSettings, Report, RetryBudget, RolloutGate, Runners,
-    Session, Share, StepCosts, Target, choose_version,
+    Admission, Balance, CascadePolicy, GateInput, GateVerdict, Locality, Outcome,
+    PassRates, PickSettings, Report, RetryBudget, RolloutGate, Runners, Session, Share,
+    StepCosts, Target, Weights, choose_version,
 };
 
 /// Entries of a deployment.
@@ -105,10 +105,6 @@
     pub caller_ms: u64,
     /// Requests a second on a steady day.
     pub rate: f64,
-    /// What a ms of delay weighs, millionths of a euro.
-    pub micros_per_ms: f64,
-    /// Margin of the roll-out's gate.
-    pub gate_margin: f64,
 }
 
 /// What happens during a run.
@@ -154,6 +150,8 @@
     pub gate: Gate,
     /// Retries allowed, percent of first attempts.
     pub retry_percent: u32,
+    /// What the user weighs most.
+    pub weights: Weights,
     /// Whether teams are held to their share while slots are short.
     pub fair: bool,
 }
@@ -510,7 +508,7 @@
                 step_micros: SMALL.price_micros * MEAN_TOKENS / PRICED_TOKENS,
                 next_micros: LARGE.price_micros * MEAN_TOKENS / PRICED_TOKENS,
                 step_ms: SMALL.first_ms + SMALL.token_ms * MEAN_TOKENS,
-                micros_per_ms: self.plant.micros_per_ms,
+                micros_per_ms: self.variant.weights.micros_per_ms,
                 left_ms: 60_000.0,
                 rest_ms: LARGE.first_ms + LARGE.token_ms * MEAN_TOKENS,
             };
@@ -773,7 +771,7 @@
                 good: rating >= GOOD,
                 at: Millis(self.now),
             };
-            let settings = self.gate_settings();
+            let settings = self.variant.weights.gate;
             self.entries[entry].gate.take(input, &settings);
         }
         self.deliver(id, good);
@@ -816,13 +814,6 @@
         }
     }
 
-    fn gate_settings(&self) -> GateSettings {
-        GateSettings {
-            margin: self.plant.gate_margin,
-            ..GateSettings::default()
-        }
-    }
-
     /// Engines publish their load; entries hear it, and look at the roll-out.
     fn beat(&mut self) {
         if self.now < self.duration + 30_000 {
@@ -869,7 +860,7 @@
         let Some(rollout) = self.config.rollouts.get("draft").cloned() else {
             return;
         };
-        let settings = self.gate_settings();
+        let settings = self.variant.weights.gate;
         let now = Millis(self.now);
         for entry in &self.entries {
             let action = match entry.gate.verdict(&rollout.value, now, now, &settings) {
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use bill::{Bill, BillRecord, Line};
+use bill::{Bill, BillBuffer, BillRecord, Line};
 use claim::{Claim, ClaimRecord, Claims};
 use config::{Change, ChangeRecord, Config, ModelSpec, TeamSpec, VersionSpec};
 use route::{Locality, PickSettings, Report, Runners, Target};
@@ -40,6 +40,7 @@
     config_fold();
     claim_fold();
     bill_records();
+    bill_buffer();
     runner_choice();
     subset_cost();
 }
@@ -297,26 +298,44 @@
 fn bill_records() {
     let mut points = Vec::new();
     for count in [10_usize, 50, 100, 200, 500] {
-        let bills = (0..count)
-            .map(|at| Bill {
-                request_id: format!("{at:032x}"),
-                team: format!("team-{}", at % 10),
-                at_ms: 1_700_000_000_000,
-                lines: vec![Line {
-                    model: "draft".into(),
-                    version: "v1".into(),
-                    prompt_tokens: 800,
-                    output_tokens: 320,
-                    cost_micros: 2_240,
-                }],
-            })
-            .collect();
+        let bills = (0..count).map(usual_bill).collect();
         let record = BillRecord::new("i-0123456789abcdef", bills).encode();
         points.push((count as f64, record.len() as f64));
     }
     report("bill record", "bills", "bytes", &points);
 }
 
+/// Bills held while the log is down.
+fn bill_buffer() {
+    let mut points = Vec::new();
+    for count in KEYS {
+        let before = memory_bytes();
+        let mut buffer = BillBuffer::new(count);
+        for at in 0..count {
+            buffer.hold(usual_bill(at), clock::Millis(0), "");
+        }
+        let memory = memory_bytes().saturating_sub(before);
+        points.push((count as f64, memory as f64 / 1024.0));
+        std::mem::forget(buffer);
+    }
+    report("bill buffer", "bills", "KiB", &points);
+}
+
+fn usual_bill(at: usize) -> Bill {
+    Bill {
+        request_id: format!("{at:032x}"),
+        team: format!("team-{}", at % 10),
+        at_ms: 1_700_000_000_000,
+        lines: vec![Line {
+            model: "draft".into(),
+            version: "v1".into(),
+            prompt_tokens: 800,
+            output_tokens: 320,
+            cost_micros: 2_240,
+        }],
+    }
+}
+
 fn runner_choice() {
     let mut points = Vec::new();
     for count in [10_usize, 50, 100, 200, 400] {
--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -199,17 +199,19 @@
             return Verdict::Repeat(Box::new(earlier));
         }
         let object = record.change.object();
+        let side = side_object(&record.change);
         let before = self.describe(&object);
+        let side_before = side.as_ref().map(|side| self.describe(side));
         let revision = offset + 1;
-        let result = self.change(&record, revision);
+        let refused = self.change(&record, revision).err();
         let after = self.describe(&object);
-        let refused = result.err();
+        let side_after = side.as_ref().map(|side| self.describe(side));
         self.known.push(Known {
             change_id: record.change_id.clone(),
             refused: refused.clone(),
             revision,
         });
-        self.audit.push_back(AuditEntry {
+        let entry = AuditEntry {
             offset,
             at_ms: record.at_ms,
             who: record.who,
@@ -220,16 +222,31 @@
                 .map_or("accepted".into(), ToString::to_string),
             before,
             after,
-        });
-        if self.audit.len() > AUDIT_KEPT {
-            self.audit.pop_front();
-        }
+        };
+        if let Some(side) = side
+            && side_before != side_after
+        {
+            self.note(AuditEntry {
+                object: side.to_string(),
+                before: side_before.unwrap_or_default(),
+                after: side_after.unwrap_or_default(),
+                ..entry.clone()
+            });
+        }
+        self.note(entry);
         match refused {
             Some(err) => Verdict::Refused(err),
             None => Verdict::Accepted { revision },
         }
     }
 
+    fn note(&mut self, entry: AuditEntry) {
+        self.audit.push_back(entry);
+        if self.audit.len() > AUDIT_KEPT {
+            self.audit.pop_front();
+        }
+    }
+
     /// The verdict on a change that was folded, if its id is still known.
     pub fn verdict_of(&self, change_id: &str) -> Option<Verdict> {
         let known = self.known.get(change_id)?;
@@ -657,6 +674,16 @@
     }
 }
 
+/// Another object that a change may touch, for the audit trail: a withdrawal
+/// halts a roll-out, and the last step of one changes the serving version.
+fn side_object(change: &Change) -> Option<ObjectKey> {
+    match change {
+        Change::Withdraw { model, .. } => Some(ObjectKey::Rollout(model.clone())),
+        Change::RolloutControl { model, .. } => Some(ObjectKey::Model(model.clone())),
+        _ => None,
+    }
+}
+
 fn next_state(
     state: RolloutState,
     action: RolloutAction,
--- a/crates/entry/src/cascade.rs
+++ b/crates/entry/src/cascade.rs
@@ -24,12 +24,6 @@
 /// Time of a usual step, ms, until the runners show theirs.
 const USUAL_STEP_MS: f64 = 1_500.0;
 
-/// What a ms of delay weighs where latency weighs most, millionths of a euro.
-const LATENCY_MICROS_PER_MS: f64 = 2.0;
-
-/// What it weighs otherwise.
-const EXPOSURE_MICROS_PER_MS: f64 = 0.2;
-
 /// A model to try, and the rating with which its answer is returned; `None`
 /// for the last.
 #[derive(Clone, Debug)]
@@ -180,19 +174,13 @@
 
 /// Whether a cheap step pays, by its learned pass rate.
 fn is_worth(entry: &Entry, request: &ChatRequest, step: &Step, rest: &[Step]) -> bool {
-    let latency_first =
-        entry.node.settings.process.objective == settings::Objective::Latency;
     let costs = StepCosts {
         step_micros: usual_price(entry, &step.model),
         next_micros: rest
             .first()
             .map_or(0.0, |next| usual_price(entry, &next.model)),
         step_ms: USUAL_STEP_MS,
-        micros_per_ms: if latency_first {
-            LATENCY_MICROS_PER_MS
-        } else {
-            EXPOSURE_MICROS_PER_MS
-        },
+        micros_per_ms: entry.weights().micros_per_ms,
         left_ms: request.deadline.since(entry.node.now()) as f64,
         rest_ms: USUAL_STEP_MS,
     };
--- a/crates/entry/src/rollout.rs
+++ b/crates/entry/src/rollout.rs
@@ -6,7 +6,7 @@
 use clock::Clock;
 use config::{Change, ChangeRecord, Config, RolloutAction, RolloutState};
 use log::{info, warn};
-use route::{GateInput, GateSettings, GateVerdict};
+use route::{GateInput, GateVerdict, Weights};
 use settings::Objective;
 use store::CONFIG_STREAM;
 
@@ -37,7 +37,7 @@
         self.gates()
             .entry(key)
             .or_default()
-            .take(input, &self.gate_settings());
+            .take(input, &self.weights().gate);
     }
 
     /// Has an answer rated in the background while its model is rolled out.
@@ -58,15 +58,11 @@
         });
     }
 
-    /// Where exposure weighs most, a smaller loss counts as worse.
-    fn gate_settings(&self) -> GateSettings {
+    /// What the user weighs most, as numbers.
+    pub(crate) fn weights(&self) -> Weights {
         match self.node.settings.process.objective {
-            Objective::Exposure => GateSettings::default(),
-            Objective::Latency => GateSettings {
-                margin: 0.2,
-                least_outcomes: 15,
-                ..GateSettings::default()
-            },
+            Objective::Exposure => Weights::exposure(),
+            Objective::Latency => Weights::latency(),
         }
     }
 }
@@ -101,7 +97,7 @@
     let gates = entry.gates();
     let gate = gates.get(&key).cloned().unwrap_or_default();
     let wall = entry.node.clock.wall();
-    gate.verdict(rollout, wall, entry.node.now(), &entry.gate_settings())
+    gate.verdict(rollout, wall, entry.node.now(), &entry.weights().gate)
 }
 
 /// Appends the action.  Its change id is the same at every entry, and it
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod cascade;
+mod objective;
 mod retry;
 mod rollout;
 mod runners;
@@ -14,6 +15,7 @@
 
 pub use admission::{Admission, AdmissionError, Share};
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
+pub use objective::Weights;
 pub use retry::RetryBudget;
 pub use rollout::{GateInput, GateSettings, GateVerdict, RolloutGate};
 pub use runners::{
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -166,6 +166,27 @@
     );
 }
 
+#[test]
+fn audit_shows_what_a_change_did_to_another_object() {
+    let mut folded = two_versions();
+    folded.change(rollout("draft", "v2", &[10], Gate::Fixed));
+    folded.change(control("draft", RolloutAction::Advance));
+    folded.change(withdraw("draft", "v1", WithdrawMode::Now));
+    let trail = folded.config.audit();
+    let touched: Vec<&str> = trail.iter().map(|entry| entry.object.as_str()).collect();
+    let last = &touched[touched.len() - 4..];
+    // The finished roll-out is not touched by the withdrawal.
+    assert_eq!(
+        last,
+        [
+            "rollout/draft",
+            "model/draft",
+            "rollout/draft",
+            "version/draft@v1"
+        ]
+    );
+}
+
 #[test]
 fn price_change_does_not_reinstate_a_withdrawn_version() {
     let mut folded = two_versions();
