--- a/crates/node/src/bills.rs
+++ b/crates/node/src/bills.rs
@@ -173,7 +173,7 @@
 
 /// Appends due bills for ever.
 pub(crate) async fn run(node: Arc<Node>) {
-    let interval = Duration::from_millis(node.settings.store.append_interval_ms);
+    let interval = Duration::from_millis(node.settings.store.bill_interval_ms);
     loop {
         tokio::time::sleep(interval).await;
         node.postpone_copies();
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -8,10 +8,13 @@
 };
 
 use log::debug;
-use store::{Instance, Role};
+use store::Instance;
 use wire::Hello;
 
-use crate::{Kind, Node, subset};
+use crate::{
+    Kind, Node,
+    subset::{entries_for_agent, subset},
+};
 
 /// Heartbeats between two reads of the live list.
 const LIST_EVERY: u64 = 2;
@@ -139,15 +142,7 @@
 fn targets(node: &Node, instances: &[Instance]) -> Vec<SocketAddr> {
     match node.kind {
         Kind::Entry => subset(instances, node.address, node.settings.entry.greet_max),
-        Kind::Agent => {
-            let entries = instances
-                .iter()
-                .filter(|instance| instance.role == Role::Entry);
-            entries
-                .map(|entry| entry.address)
-                .take(AGENT_PEERS)
-                .collect()
-        }
+        Kind::Agent => entries_for_agent(instances, node.address, AGENT_PEERS),
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,7 +30,7 @@
 pub use health::{Fold, PeerNews, judge};
 pub use heartbeat::Heard;
 pub use peers::{Peer, Peers};
-pub use subset::subset;
+pub use subset::{entries_for_agent, subset};
 
 /// What kind of process a node is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/node/src/subset.rs
+++ b/crates/node/src/subset.rs
@@ -50,6 +50,26 @@
 /// Entries that an entry greets where agents are shared out.
 const ENTRY_PEERS: usize = 4;
 
+/// Entries that the agent at `own` greets by itself: its own few of them, so
+/// that no entry is greeted by all.
+pub fn entries_for_agent(
+    instances: &[Instance],
+    own: SocketAddr,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let own_hash = hash(&own.to_string());
+    let mut entries: Vec<&Instance> = instances
+        .iter()
+        .filter(|instance| instance.role == Role::Entry)
+        .collect();
+    entries.sort_by_key(|entry| score(own_hash, hash(&entry.name)));
+    entries
+        .into_iter()
+        .take(count)
+        .map(|entry| entry.address)
+        .collect()
+}
+
 /// Whether fewer than `copies` entries score higher for the agent.
 fn is_mine(agent: u64, own: u64, entries: &[u64], copies: usize) -> bool {
     let own_score = score(agent, own);
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -8,6 +8,10 @@
 use clock::Millis;
 use config::{Gate, Rollout, RolloutState};
 
+/// Losses that are tested for, in margins.  A test for a small loss is slow to
+/// see a large one, and a very bad version is the one to stop first.
+const MARGIN_FACTORS: [f64; 2] = [1.0, 4.0];
+
 /// What the gate halts and passes at.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GateSettings {
@@ -60,8 +64,9 @@
     old_good: f64,
     old_bad: f64,
     new_seen: u32,
-    /// Log of the likelihood ratio of "worse" against "no worse".
-    evidence: f64,
+    /// Logs of the likelihood ratios of "worse" against "no worse", one for
+    /// each of [`MARGIN_FACTORS`].
+    evidence: [f64; MARGIN_FACTORS.len()],
     last_rating: Option<Millis>,
 }
 
@@ -79,14 +84,17 @@
         }
         self.new_seen += 1;
         let no_worse = self.old_rate();
-        let worse = (no_worse - settings.margin).max(0.01);
-        let ratio = if input.good {
-            worse / no_worse
-        } else {
-            (1.0 - worse) / (1.0 - no_worse)
-        };
-        // Below zero, evidence that it is fine would hide that it turned bad.
-        self.evidence = (self.evidence + ratio.ln()).max(0.0);
+        for (evidence, factor) in self.evidence.iter_mut().zip(MARGIN_FACTORS) {
+            let worse = (no_worse - settings.margin * factor).max(0.01);
+            let ratio = if input.good {
+                worse / no_worse
+            } else {
+                (1.0 - worse) / (1.0 - no_worse)
+            };
+            // Below zero, evidence that it is fine would hide that it turned
+            // bad.
+            *evidence = (*evidence + ratio.ln()).max(0.0);
+        }
     }
 
     /// Share of good outcomes on the serving version, from a prior of nine in
@@ -121,7 +129,9 @@
                 GateVerdict::Wait
             };
         }
-        if self.evidence >= (1.0 / settings.false_halt).ln() {
+        // The chance of a false halt is shared by the tests.
+        let bound = (MARGIN_FACTORS.len() as f64 / settings.false_halt).ln();
+        if self.evidence.iter().any(|evidence| *evidence >= bound) {
             return GateVerdict::Halt;
         }
         let heard = self
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -174,7 +174,14 @@
         "append_interval_ms",
         "20",
         number(1, 10_000),
-        "How long claims and bills gather before an append.",
+        "How long claims gather before an append.",
+    ),
+    key(
+        "store",
+        "bill_interval_ms",
+        "500",
+        number(1, 60_000),
+        "How long bills gather before an append.",
     ),
     key(
         "store",
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -82,8 +82,10 @@
     pub claim_window_ms: u64,
     /// Streams that claims are spread over.
     pub claim_partitions: u32,
-    /// How long claims and bills gather, ms.
+    /// How long claims gather, ms.
     pub append_interval_ms: u64,
+    /// How long bills gather, ms.
+    pub bill_interval_ms: u64,
     /// Age of the last news of the log that ends new work, ms.
     pub stale_after_ms: u64,
     /// What happens while the log is down.
@@ -298,6 +300,7 @@
         claim_window_ms: raw.number("store", "claim_window_ms"),
         claim_partitions: raw.number("store", "claim_partitions") as u32,
         append_interval_ms: raw.number("store", "append_interval_ms"),
+        bill_interval_ms: raw.number("store", "bill_interval_ms"),
         stale_after_ms: raw.number("store", "stale_after_ms"),
         outage: match raw.text("store", "outage") {
             "refuse" => StoreOutage::Refuse,
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use node::subset;
+use node::{entries_for_agent, subset};
 use store::{Instance, InstanceState, Role};
 
 fn instance(role: Role, at: usize) -> Instance {
@@ -63,6 +63,20 @@
     assert!(greeted.iter().all(|count| *count <= 40), "{greeted:?}");
 }
 
+#[test]
+fn agents_spread_their_own_greetings() {
+    let list = list(55, 450);
+    let mut greeted: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for agent in list.iter().filter(|instance| instance.role == Role::Agent) {
+        for entry in entries_for_agent(&list, agent.address, 3) {
+            *greeted.entry(entry).or_default() += 1;
+        }
+    }
+    // 450 agents, three entries each, over 55 entries: 25 on average.
+    assert!(greeted.values().all(|count| *count <= 60), "{greeted:?}");
+    assert!(greeted.len() >= 50);
+}
+
 #[test]
 fn replaced_entry_moves_only_its_own_share() {
     let before = list(55, 450);
