Order engines by an endpoint's placement, fenced by its revision

Cause: engines take orders, and some ignore fencing numbers; nothing sent any.

Change: `ctl put placement`; the endpoint's agent alone brings the engine there, loads first, unloads only what nothing runs on, acts on nothing older than before, and where the engine checks no numbers looks at the log's end at the last instant. First try gave orders twice (`6 load draft@v2; 6 load draft@v2`): it went by a load report 200 ms old; it reads the load anew before each look.

--- a/crates/admin/src/convert.rs
+++ b/crates/admin/src/convert.rs
@@ -1,14 +1,14 @@
 //! Between the schema's messages and the configuration's changes.
 
 use config::{
-    CascadeSpec, CascadeStep, Change, Gate, ModelSpec, ObjectKey, RolloutAction,
-    RolloutSpec, ServiceSpec, TeamSpec, VersionSpec, WithdrawMode,
+    CascadeSpec, CascadeStep, Change, Gate, ModelSpec, ObjectKey, PlacementSpec,
+    RolloutAction, RolloutSpec, ServiceSpec, TeamSpec, VersionSpec, WithdrawMode,
 };
 use displaydoc::Display;
 
 use crate::{
-    Cascade, Delete, Model, Reinstate, Rollout, RolloutControl, Service, Step, Team,
-    Version, Withdraw, apply_request,
+    Cascade, Delete, Model, Placement, Reinstate, Rollout, RolloutControl, Service,
+    Step, Team, Version, Withdraw, apply_request,
 };
 
 /// Why a message is no change.
@@ -18,7 +18,7 @@
     Gate(String),
     /// {0:?} is no action on a roll-out; give advance, pause, resume or abort
     Action(String),
-    /// {0:?} is no kind of object; give team, model, version, cascade, rollout or service
+    /// {0:?} is no kind of object; give team, model, version, cascade, rollout, service or placement
     Kind(String),
     /// {0:?} names no version; give model@version
     VersionName(String),
@@ -77,6 +77,10 @@
             idempotent: service.idempotent,
             cost_micros: service.cost_micros,
         }),
+        Wire::Placement(placement) => Change::Placement(PlacementSpec {
+            endpoint: placement.endpoint.to_string(),
+            versions: strings(&placement.versions),
+        }),
         Wire::Withdraw(withdraw) => Change::Withdraw {
             model: withdraw.model.to_string(),
             version: withdraw.version.to_string(),
@@ -131,6 +135,7 @@
         "cascade" => ObjectKey::Cascade(name.to_owned()),
         "rollout" => ObjectKey::Rollout(name.to_owned()),
         "service" => ObjectKey::Service(name.to_owned()),
+        "placement" => ObjectKey::Placement(name.to_owned()),
         "version" => {
             let (model, version) = name
                 .split_once('@')
@@ -193,6 +198,10 @@
             idempotent: spec.idempotent,
             cost_micros: spec.cost_micros,
         }),
+        Change::Placement(spec) => Wire::Placement(Placement {
+            endpoint: spec.endpoint.clone().into(),
+            versions: fast(&spec.versions),
+        }),
         Change::Withdraw {
             model,
             version,
@@ -243,5 +252,6 @@
         ObjectKey::Cascade(name) => ("cascade", name.clone()),
         ObjectKey::Rollout(model) => ("rollout", model.clone()),
         ObjectKey::Service(name) => ("service", name.clone()),
+        ObjectKey::Placement(endpoint) => ("placement", endpoint.clone()),
     }
 }
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -12,8 +12,8 @@
 pub use admin_gen::admin_gen::currantbank::admin::{
     Admin, AdminServer, ApplyReply, ApplyRequest, AuditEntry, AuditReply, AuditRequest,
     Cascade, Delete, Instance, ListReply, ListRequest, Listed, Model, Outcome,
-    Reinstate, Rollout, RolloutControl, Service, StatusReply, StatusRequest, Step,
-    Team, Version, Withdraw, apply_request,
+    Placement, Reinstate, Rollout, RolloutControl, Service, StatusReply, StatusRequest,
+    Step, Team, Version, Withdraw, apply_request,
 };
 pub use client::{AdminCalls, AdminError};
 pub use convert::{ConvertError, change_from_wire, change_to_wire};
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -152,11 +152,8 @@
     }
     let mut failures = 0;
     loop {
-        match read_load(&agent).await {
-            Ok(load) => {
-                failures = 0;
-                *agent.load.borrow_mut() = load;
-            }
+        match refresh_load(&agent).await {
+            Ok(()) => failures = 0,
             Err(why) => {
                 failures += 1;
                 debug!("event=load_unread failures={failures} why=\"{why}\"");
@@ -169,6 +166,13 @@
     }
 }
 
+/// Reads the engine's load now.
+pub(crate) async fn refresh_load(agent: &Agent) -> Result<(), String> {
+    let load = read_load(agent).await?;
+    *agent.load.borrow_mut() = load;
+    Ok(())
+}
+
 async fn read_load(agent: &Agent) -> Result<Load, String> {
     let address = agent.node.settings.agent.endpoint_address;
     let read = async {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod engine;
 mod handler;
+mod orders;
 mod service;
 mod state;
 
@@ -50,6 +51,7 @@
     node.run(|_heard: Heard| {});
     tokio::task::spawn_local(wire::serve_agent(listener, agent.clone()));
     tokio::task::spawn_local(engine::poll_load(agent.clone()));
+    tokio::task::spawn_local(orders::run(agent.clone()));
     tokio::task::spawn_local(tick(agent.clone()));
     shutdown.await;
     drain(&agent, &node, drain_timeout_ms).await;
--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -8,9 +8,9 @@
 
 use crate::{
     AuditEntry, CascadeSpec, Change, ChangeRecord, Entity, ModelSpec, NameError,
-    ObjectKey, RECORD_VERSION, Rollout, RolloutAction, RolloutSpec, RolloutState,
-    ServiceSpec, TeamSpec, Version, VersionSpec, VersionState, WithdrawMode,
-    check_name,
+    ObjectKey, PlacementSpec, RECORD_VERSION, Rollout, RolloutAction, RolloutSpec,
+    RolloutState, ServiceSpec, TeamSpec, Version, VersionSpec, VersionState,
+    WithdrawMode, check_name,
 };
 
 /// Entries of the audit trail that the fold keeps; older ones stay on the log.
@@ -145,6 +145,9 @@
     pub rollouts: BTreeMap<String, Entity<Rollout>>,
     /// Plain services by name.
     pub services: BTreeMap<String, Entity<ServiceSpec>>,
+    /// Placements by endpoint.
+    #[serde(default)]
+    pub placements: BTreeMap<String, Entity<PlacementSpec>>,
     audit: VecDeque<AuditEntry>,
     known: KnownChanges,
     /// Offset of a record from a newer build, at which the fold stopped.
@@ -274,6 +277,7 @@
             ObjectKey::Cascade(name) => revision(self.cascades.get(name)),
             ObjectKey::Rollout(model) => revision(self.rollouts.get(model)),
             ObjectKey::Service(name) => revision(self.services.get(name)),
+            ObjectKey::Placement(name) => revision(self.placements.get(name)),
         }
     }
 
@@ -285,6 +289,7 @@
             ObjectKey::Cascade(name) => json(self.cascades.get(name)),
             ObjectKey::Rollout(model) => json(self.rollouts.get(model)),
             ObjectKey::Service(name) => json(self.services.get(name)),
+            ObjectKey::Placement(name) => json(self.placements.get(name)),
         }
     }
 
@@ -342,6 +347,7 @@
                 put(&mut self.services, &spec.name, spec.clone(), revision);
                 Ok(())
             }
+            Change::Placement(spec) => self.put_placement(spec, revision),
             Change::Rollout(spec) => self.start_rollout(spec, record.at_ms, revision),
             Change::Withdraw {
                 model,
@@ -489,6 +495,24 @@
         Ok(())
     }
 
+    fn put_placement(
+        &mut self,
+        spec: &PlacementSpec,
+        revision: u64,
+    ) -> Result<(), ChangeError> {
+        check_name("endpoint", &spec.endpoint)?;
+        for name in &spec.versions {
+            let known = name
+                .split_once('@')
+                .is_some_and(|(model, version)| self.version(model, version).is_some());
+            if !known {
+                return Err(ChangeError::Missing(format!("version/{name}")));
+            }
+        }
+        put(&mut self.placements, &spec.endpoint, spec.clone(), revision);
+        Ok(())
+    }
+
     fn start_rollout(
         &mut self,
         spec: &RolloutSpec,
@@ -617,6 +641,9 @@
             ObjectKey::Service(name) => {
                 self.services.remove(name);
             }
+            ObjectKey::Placement(endpoint) => {
+                self.placements.remove(endpoint);
+            }
             ObjectKey::Cascade(name) => {
                 self.cascades.remove(name);
             }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -31,8 +31,8 @@
 pub use name::{NameError, check_name};
 pub use record::{
     CascadeSpec, CascadeStep, Change, ChangeRecord, Gate, ModelSpec, ObjectKey,
-    RECORD_VERSION, RolloutAction, RolloutSpec, ServiceSpec, TeamSpec, VersionSpec,
-    WithdrawMode,
+    PlacementSpec, RECORD_VERSION, RolloutAction, RolloutSpec, ServiceSpec, TeamSpec,
+    VersionSpec, WithdrawMode,
 };
 pub use snapshot::{Loader, SnapshotError, SnapshotPart};
 pub use tables::{Entity, Rollout, RolloutState, Version, VersionState};
--- a/crates/config/src/record.rs
+++ b/crates/config/src/record.rs
@@ -60,6 +60,8 @@
     Rollout(RolloutSpec),
     /// Creates or replaces a plain service.
     Service(ServiceSpec),
+    /// Says which versions an endpoint's engine is to have loaded.
+    Placement(PlacementSpec),
     /// Withdraws a version.
     Withdraw {
         /// Model of the version.
@@ -101,6 +103,7 @@
             Change::Cascade(spec) => ObjectKey::Cascade(spec.name.clone()),
             Change::Rollout(spec) => ObjectKey::Rollout(spec.model.clone()),
             Change::Service(spec) => ObjectKey::Service(spec.name.clone()),
+            Change::Placement(spec) => ObjectKey::Placement(spec.endpoint.clone()),
             Change::Withdraw { model, version, .. }
             | Change::Reinstate { model, version } => {
                 ObjectKey::Version(model.clone(), version.clone())
@@ -127,6 +130,8 @@
     Rollout(String),
     /// A plain service, by name.
     Service(String),
+    /// A placement, by endpoint.
+    Placement(String),
 }
 
 impl fmt::Display for ObjectKey {
@@ -140,6 +145,7 @@
             ObjectKey::Cascade(name) => write!(f, "cascade/{name}"),
             ObjectKey::Rollout(model) => write!(f, "rollout/{model}"),
             ObjectKey::Service(name) => write!(f, "service/{name}"),
+            ObjectKey::Placement(endpoint) => write!(f, "placement/{endpoint}"),
         }
     }
 }
@@ -200,6 +206,16 @@
     pub cost_micros: u64,
 }
 
+/// What an endpoint's engine is to have loaded.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlacementSpec {
+    /// Name of the endpoint.
+    pub endpoint: String,
+    /// Versions, as `model@version`.
+    pub versions: Vec<String>,
+}
+
 /// Models tried in order, cheaper before dearer.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/core/src/flags/defs.rs
+++ b/crates/core/src/flags/defs.rs
@@ -209,6 +209,13 @@
         "A service's calls may be repeated.",
         "A service's calls may be repeated. Without it each key runs at most once.",
     ),
+    flag(
+        "load",
+        Some("MODEL@VERSION"),
+        &["ctl"],
+        "Version that an endpoint has loaded; repeatable.",
+        "Version that an endpoint's engine is to have loaded. Repeatable; what is not named is unloaded once nothing runs on it.",
+    ),
     flag(
         "to",
         Some("VERSION"),
--- a/crates/core/src/flags/help.rs
+++ b/crates/core/src/flags/help.rs
@@ -19,7 +19,7 @@
 
 const VERBS: &str = "\
 verbs of ctl:
-  put team|model|version|cascade|service NAME   create or change an object
+  put team|model|version|cascade|service|placement NAME   create or change
   rollout start|advance|pause|resume|abort MODEL
   withdraw MODEL@VERSION    reinstate MODEL@VERSION
   delete KIND NAME          list KIND
--- a/crates/core/src/flags/parse.rs
+++ b/crates/core/src/flags/parse.rs
@@ -3,8 +3,8 @@
 use std::{ffi::OsString, net::SocketAddr, path::PathBuf};
 
 use config::{
-    CascadeSpec, CascadeStep, Change, Gate, ModelSpec, ObjectKey, RolloutAction,
-    RolloutSpec, ServiceSpec, TeamSpec, VersionSpec, WithdrawMode,
+    CascadeSpec, CascadeStep, Change, Gate, ModelSpec, ObjectKey, PlacementSpec,
+    RolloutAction, RolloutSpec, ServiceSpec, TeamSpec, VersionSpec, WithdrawMode,
 };
 use displaydoc::Display;
 use lexopt::{Arg, Parser, ValueExt};
@@ -336,6 +336,7 @@
         "cascade" => ObjectKey::Cascade(name),
         "rollout" => ObjectKey::Rollout(name),
         "service" => ObjectKey::Service(name),
+        "placement" => ObjectKey::Placement(name),
         "version" => {
             let (model, version) = pair(&name)?;
             ObjectKey::Version(model, version)
@@ -379,6 +380,10 @@
                 steps: steps?,
             }))
         }
+        "placement" => Ok(Change::Placement(PlacementSpec {
+            endpoint: name,
+            versions: given.all("load"),
+        })),
         "service" => Ok(Change::Service(ServiceSpec {
             name,
             idempotent: given.has("idempotent"),
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -91,7 +91,7 @@
         let kind = request.into_inner().kind;
         let objects = list(&config, &kind).ok_or_else(|| {
             Status::invalid_argument(
-                "no such kind; give team, model, version, cascade, rollout or service",
+                "no such kind; give team, model, version, cascade, rollout, service or placement",
             )
         })?;
         Ok(Response::new(ListReply {
@@ -292,6 +292,11 @@
             .iter()
             .map(|(name, e)| listed(name, e))
             .collect(),
+        "placement" => config
+            .placements
+            .iter()
+            .map(|(name, e)| listed(name, e))
+            .collect(),
         "version" => config
             .versions
             .iter()
--- a/crates/gate/src/attempts.rs
+++ b/crates/gate/src/attempts.rs
@@ -64,6 +64,8 @@
 
 #[derive(Clone, Debug)]
 struct Attempt {
+    /// `model@version`, or the plain service.
+    target: String,
     phase: Phase,
     touched: Millis,
     cancelled: bool,
@@ -104,6 +106,14 @@
         self.running
     }
 
+    /// Attempts in progress on a `model@version`.
+    pub fn running_on(&self, target: &str) -> usize {
+        let running = self.attempts.values().filter(|attempt| {
+            attempt.phase == Phase::Running && attempt.target == target
+        });
+        running.count()
+    }
+
     /// Judges an arriving attempt.
     pub fn admit(
         &mut self,
@@ -134,6 +144,7 @@
         }
         self.running += 1;
         let attempt = Attempt {
+            target: target_of(&work),
             phase: Phase::Running,
             touched: cx.now,
             cancelled: false,
@@ -251,6 +262,7 @@
     pub fn tombstone(&mut self, id: &AttemptId, now: Millis) -> AttemptState {
         let phase = Phase::Ended(AttemptState::Tombstoned);
         let attempt = Attempt {
+            target: String::new(),
             phase,
             touched: now,
             cancelled: true,
@@ -269,6 +281,14 @@
     }
 }
 
+fn target_of(work: &Work) -> String {
+    if work.service.is_empty() {
+        format!("{}@{}", work.model, work.version)
+    } else {
+        work.service.clone()
+    }
+}
+
 fn check_version(work: &Work, cx: Context<'_>) -> Result<(), Reason> {
     if !cx.config.permits(&work.team, &work.model, &work.version) {
         return Err(Reason::NotAllowed);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -66,6 +66,7 @@
     leaving_endpoint
     not_run_frozen_agent
     not_run_silent_connection
+    orders
     path
     regression_echoed_news
     regression_entry_count
--- a/tests/util/script.rs
+++ b/tests/util/script.rs
@@ -681,6 +681,10 @@
                 let wanted: usize = args.word(1).parse().expect("a number");
                 self.world.engines[args.word(0)].state().started.len() >= wanted
             }
+            "wait-orders" => {
+                let wanted: usize = args.word(1).parse().expect("a number");
+                self.world.engines[args.word(0)].state().orders.len() >= wanted
+            }
             "wait-idle" => self.world.engines[args.word(0)].state().running == 0,
             "wait-text" => {
                 let background = &self.background[args.word(0)];
