Say "partly" where a cascade's earlier step ran; split the large files

Cause: a request whose cheap step had run and whose dear model was then gone was told `no_runner`, ran `no`. So had one whose first attempt was lost and whose second was refused for good.

Change: a request's trail knows whether a step gave an answer or an attempt may have run, and no later refusal says less.

Reading: fold.rs into fold, change and known; the HTTP side into request and response; the experiments' model and configuration apart; the choice of a runner within the budget stood twice and is `Entry::pick`.

--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim/mod.rs
@@ -6,271 +6,33 @@
 //! chance that its version and the question's kind set.  Entries share one
 //! configuration, since a change is in force within seconds.
 
+mod model;
+mod plan;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, VecDeque},
-    net::SocketAddr,
 };
 
 use clock::Millis;
-use config::{
-    Change, ChangeRecord, Config, Gate, ModelSpec, RolloutAction, RolloutSpec,
-    TeamSpec, VersionSpec,
-};
-use hdrhistogram::Histogram;
+use config::{Change, Config, RolloutAction, TeamSpec};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{
-    Admission, Balance, CascadePolicy, GateInput, GateVerdict, Locality, Outcome,
-    PassRates, PickSettings, Report, RetryBudget, RolloutGate, Runners, Session, Share,
-    StepCosts, Target, Weights, choose_version,
+    Admission, GateInput, GateVerdict, Locality, Outcome, PassRates, PickSettings,
+    Report, RetryBudget, RolloutGate, Runners, Session, Share, StepCosts, Target,
+    choose_version,
 };
 
-/// Entries of a deployment.
-const ENTRIES: usize = 3;
-
-/// Rooms of a deployment.
-const ROOMS: usize = 3;
-
-/// Requests that an engine generates at once.
-const SLOTS: u32 = 8;
-
-/// Time between heartbeats, ms.
-const BEAT_MS: u64 = 500;
-
-/// Silence after which an attempt counts as lost, ms.
-const SILENCE_MS: u64 = 2_000;
-
-/// Time that a rating takes, ms.
-const RATING_MS: u64 = 80;
-
-/// Least rating of a good answer.
-const GOOD: f64 = 0.5;
-
-/// Mean output tokens of an answer.
-const MEAN_TOKENS: f64 = 150.0;
-
-/// Tokens that a price is given for.
-const PRICED_TOKENS: f64 = 1_000.0;
-
-/// Attempts of a request.
-const ATTEMPTS_MAX: u32 = 3;
-
-/// Time at which a situation's fault strikes, as a part of the run.
-const FAULT_AT: f64 = 0.4;
-
-/// How a model's engines behave, and what its answers are worth.
-#[derive(Clone, Copy, Debug)]
-struct ModelKind {
-    name: &'static str,
-    first_ms: f64,
-    token_ms: f64,
-    price_micros: f64,
-    good_easy: f64,
-    good_hard: f64,
-}
-
-const SMALL: ModelKind = ModelKind {
-    name: "small",
-    first_ms: 60.0,
-    token_ms: 4.0,
-    price_micros: 300.0,
-    good_easy: 0.96,
-    good_hard: 0.25,
+use self::{
+    model::{
+        ATTEMPTS_MAX, BAD_GOOD, BEAT_MS, ENTRIES, Engine, EntryState, Event, FAULT_AT,
+        GOOD, Job, LARGE, MEAN_TOKENS, ModelKind, PRICED_TOKENS, RATING_MS, ROOMS,
+        SILENCE_MS, SLOTS, SMALL, engine_kind, key, team_name,
+    },
+    plan::{apply, configuration},
 };
 
-const LARGE: ModelKind = ModelKind {
-    name: "draft",
-    first_ms: 150.0,
-    token_ms: 9.0,
-    price_micros: 2_000.0,
-    good_easy: 0.98,
-    good_hard: 0.95,
-};
-
-/// Good answers of a bad version.
-const BAD_GOOD: f64 = 0.40;
-
-/// One of the two users' plants.
-#[derive(Clone, Copy, Debug)]
-pub struct Deployment {
-    /// Name in tables.
-    pub name: &'static str,
-    /// Engines of the cheap model.
-    pub small: usize,
-    /// Engines of the dear model.
-    pub large: usize,
-    /// One way to another room, ms.
-    pub room_ms: u64,
-    /// One way to a caller, ms.
-    pub caller_ms: u64,
-    /// Requests a second on a steady day.
-    pub rate: f64,
-}
-
-/// What happens during a run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Situation {
-    /// Nothing out of the ordinary.
-    Steady,
-    /// One large team sends twice what the plant can serve.
-    Overload,
-    /// A room loses power at the peak.
-    RoomLost,
-    /// The version under roll-out is bad from the start.
-    BadVersion,
-    /// It is bad for the large team's requests only.
-    BadForOneTeam,
-    /// It turns bad slowly, in the middle of the roll-out.
-    BadSlowly,
-    /// It is bad, and the rater is silent.
-    BadRaterSilent,
-    /// It is as good as the serving one.
-    GoodVersion,
-    /// All engines stop for 30 s, and callers try again.
-    Outage,
-    /// Load reports lag by 5 s.
-    LaggingReports,
-    /// They lag, and one engine of each model generates at a third of the
-    /// others' pace.
-    LaggingOneSlow,
-    /// The cheap model's answers get worse in the middle of the day.
-    PassRateShift,
-}
-
-/// Which decisions are made how.
-#[derive(Clone, Copy, Debug)]
-pub struct Variant {
-    /// Name in tables.
-    pub name: &'static str,
-    /// How a runner is chosen.
-    pub balance: Balance,
-    /// Whether cheap steps are tried.
-    pub cascade: CascadePolicy,
-    /// How a roll-out passes steps.
-    pub gate: Gate,
-    /// Retries allowed, percent of first attempts.
-    pub retry_percent: u32,
-    /// What the user weighs most.
-    pub weights: Weights,
-    /// Whether teams are held to their share while slots are short.
-    pub fair: bool,
-}
-
-/// What a run showed.
-pub struct Outcomes {
-    /// Time to the first token, ms.
-    pub first_ms: Histogram<u64>,
-    /// Time to the whole answer, ms.
-    pub whole_ms: Histogram<u64>,
-    /// Time to the whole answer of all teams but the large one, ms.
-    pub others_ms: Histogram<u64>,
-    /// Whole answers.
-    pub answered: u64,
-    /// Good ones among them.
-    pub good: u64,
-    /// Price of all steps, millionths of a euro.
-    pub cost_micros: f64,
-    /// Answers of the bad version.
-    pub exposed: u64,
-    /// When the last of them ended, ms after the first; 0 if there was none.
-    pub exposed_span_ms: u64,
-    /// Requests refused before they ran.
-    pub refused: u64,
-    /// Requests that failed after a dispatch.
-    pub failed: u64,
-    /// Attempts that were dispatched.
-    pub attempts: u64,
-    /// Steps whose first attempt was dispatched.
-    pub dispatched: u64,
-    /// Tokens of steps whose answers were not returned.
-    pub wasted_tokens: u64,
-    /// All tokens.
-    pub tokens: u64,
-    /// Whole answers in each second.
-    pub per_second: BTreeMap<u64, u64>,
-}
-
-impl Outcomes {
-    fn new() -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are valid");
-        Outcomes {
-            first_ms: histogram(),
-            whole_ms: histogram(),
-            others_ms: histogram(),
-            answered: 0,
-            good: 0,
-            cost_micros: 0.0,
-            exposed: 0,
-            exposed_span_ms: 0,
-            refused: 0,
-            failed: 0,
-            attempts: 0,
-            dispatched: 0,
-            wasted_tokens: 0,
-            tokens: 0,
-            per_second: BTreeMap::new(),
-        }
-    }
-
-    /// Attempts for each request that was dispatched.
-    pub fn amplification(&self) -> f64 {
-        self.attempts as f64 / self.dispatched.max(1) as f64
-    }
-}
-
-struct Engine {
-    kind: ModelKind,
-    room: usize,
-    key: SocketAddr,
-    running: u32,
-    waiting: VecDeque<u64>,
-    alive: bool,
-    /// What it will report, oldest first, with when it was so.
-    reports: VecDeque<(u64, u32, u32)>,
-}
-
-struct EntryState {
-    runners: Runners,
-    admission: Admission,
-    retries: RetryBudget,
-    rates: PassRates,
-    gate: RolloutGate,
-    room: usize,
-    alive: bool,
-}
-
-#[derive(Clone)]
-struct Job {
-    entry: usize,
-    team: usize,
-    hard: bool,
-    cascade: bool,
-    tokens: f64,
-    arrived: u64,
-    /// Index of the step: 0 small, 1 large.
-    step: usize,
-    /// Attempts over all steps; names the one that an event is about.
-    attempts: u32,
-    step_attempts: u32,
-    engine: usize,
-    sent_at: u64,
-    version: &'static str,
-    first_at: u64,
-    cost_micros: f64,
-    tries: u32,
-}
-
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Event {
-    Arrive,
-    Again(u64),
-    Enter(usize, u64, u32),
-    Finish(usize, u64, u32),
-    Lost(u64, u32),
-    Rated(u64),
-    Beat,
-    Fault(bool),
-}
+pub use self::model::{Deployment, Outcomes, Situation, Variant};
 
 /// One run.
 pub struct Sim {
@@ -291,30 +53,6 @@
     out: Outcomes,
 }
 
-fn key(at: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, at as u8 + 1], 7_100))
-}
-
-fn engine_kind(plant: Deployment, situation: Situation, at: usize) -> ModelKind {
-    let kind = if at < plant.small { SMALL } else { LARGE };
-    let is_slow =
-        situation == Situation::LaggingOneSlow && (at == 0 || at == plant.small);
-    if is_slow {
-        let (first_ms, token_ms) = (kind.first_ms * 3.0, kind.token_ms * 3.0);
-        ModelKind {
-            first_ms,
-            token_ms,
-            ..kind
-        }
-    } else {
-        kind
-    }
-}
-
-fn team_name(team: usize) -> String {
-    format!("team-{team}")
-}
-
 impl Sim {
     /// Runs a situation for `duration_ms` of scripted time.
     pub fn run(
@@ -924,85 +662,3 @@
         }
     }
 }
-
-fn apply(
-    config: &mut Config,
-    offset: u64,
-    id: &str,
-    expected_revision: u64,
-    at_ms: u64,
-    change: Change,
-) {
-    let record = ChangeRecord {
-        change_id: id.to_owned(),
-        expected_revision,
-        at_ms,
-        change,
-        ..ChangeRecord::default()
-    };
-    config.apply(offset, &record.encode());
-}
-
-fn configuration(variant: Variant, situation: Situation) -> Config {
-    let mut config = Config::default();
-    let mut put = |expected: u64, change: Change| {
-        let offset = config.offset;
-        apply(
-            &mut config,
-            offset,
-            &format!("c{offset}"),
-            expected,
-            0,
-            change,
-        );
-    };
-    for model in ["small", "draft"] {
-        let spec = |serving: &str| ModelSpec {
-            name: model.into(),
-            serving: serving.into(),
-        };
-        put(0, Change::Model(spec("")));
-        for version in ["v1", "v2"] {
-            let spec = VersionSpec {
-                model: model.into(),
-                version: version.into(),
-                ..VersionSpec::default()
-            };
-            put(0, Change::Version(spec));
-        }
-        let revision = if model == "small" { 1 } else { 5 };
-        put(revision, Change::Model(spec("v1")));
-    }
-    for team in 0..10 {
-        put(
-            0,
-            Change::Team(TeamSpec {
-                name: team_name(team),
-                allowed: vec!["small".into(), "draft".into()],
-                weight: 1,
-                ..TeamSpec::default()
-            }),
-        );
-    }
-    let rolls_out = matches!(
-        situation,
-        Situation::BadVersion
-            | Situation::BadForOneTeam
-            | Situation::BadSlowly
-            | Situation::BadRaterSilent
-            | Situation::GoodVersion
-    );
-    if rolls_out {
-        put(
-            0,
-            Change::Rollout(RolloutSpec {
-                model: "draft".into(),
-                to: "v2".into(),
-                percents: vec![5, 25, 50, 100],
-                gate: variant.gate,
-                step_ms: 60_000,
-            }),
-        );
-    }
-    config
-}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,7 +20,9 @@
 //! ```
 
 mod audit;
+mod change;
 mod fold;
+mod known;
 mod name;
 mod record;
 mod snapshot;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::{
     Entry, RequestError, Stage,
     answer::{CallerGone, Head, Piece, Pieces},
+    pick::Picked,
 };
 
 /// Tokens that a price is given for.
@@ -110,6 +111,20 @@
     pub agents: Vec<SocketAddr>,
     /// Whether some attempt may have run.
     pub may_have_run: bool,
+    /// Whether a step gave a whole answer, returned or not.
+    pub has_run: bool,
+}
+
+impl Trail {
+    /// Whether the request ran, where its last step says `ran`: an earlier
+    /// step or attempt counts as well.
+    pub fn ran(&self, ran: Ran) -> Ran {
+        match ran {
+            Ran::No if self.has_run => Ran::Partly,
+            Ran::No if self.may_have_run => Ran::Unknown,
+            ran => ran,
+        }
+    }
 }
 
 /// A whole answer of one step.
@@ -163,54 +178,31 @@
     emit: &mut Emit,
     trail: &mut Trail,
 ) -> Result<StepDone, StepError> {
-    let settings = &entry.node.settings.entry;
     let name = format!("{}@{}", job.model, job.version);
     let mut tried: Vec<RunnerKey> = Vec::new();
     let mut delivered = Delivered::default();
     let mut last: Option<RequestError> = None;
-    for round in 0..settings.attempts_max {
-        let now = entry.node.now();
-        if now >= job.deadline {
+    for _ in 0..entry.node.settings.entry.attempts_max {
+        if entry.node.now() >= job.deadline {
             return Err(ended(Stage::Deadline, trail, &delivered).into());
         }
-        if round == 0 {
-            entry.retries().first_attempt(now);
-        } else if !entry.retries().try_retry(now) {
-            break;
-        } else {
-            entry.node.metrics.count("retried");
-        }
-        let target = Target::Version(&name);
-        let picked = {
-            let settings = entry.pick_settings();
-            let mut rng = entry.rng();
-            entry
-                .runners()
-                .pick(target, &tried, &settings, now, &mut *rng)
-        };
-        let runner = match picked {
-            Ok(runner) => runner,
-            Err(err) => {
+        let runner = match entry.pick(Target::Version(&name), &mut tried) {
+            Picked::Runner(runner) => runner,
+            Picked::OverBudget => break,
+            Picked::Nowhere(err) => {
                 let err = ended(Stage::NoRunner(err), trail, &delivered);
                 return Err(last.unwrap_or(err).into());
             }
         };
-        tried.push(runner);
         trail.attempts += 1;
         let attempted = attempt(entry, job, emit, trail, runner, &mut delivered).await;
-        match attempted {
+        let stage = match attempted {
             Attempted::Whole {
                 prompt_tokens,
                 output_tokens,
             } => {
-                return Ok(done(
-                    entry,
-                    job,
-                    runner,
-                    prompt_tokens,
-                    output_tokens,
-                    delivered,
-                ));
+                let line = line(job, prompt_tokens, output_tokens);
+                return Ok(done(entry, runner, line, delivered));
             }
             Attempted::CallerGone => {
                 return Err(StepError::CallerGone(line(job, 0, delivered.tokens)));
@@ -219,19 +211,13 @@
             Attempted::Deadline => {
                 return Err(ended(Stage::Deadline, trail, &delivered).into());
             }
-            Attempted::NotRun(refusal) => {
-                let stage = Stage::Refused {
-                    reason: refusal.reason,
-                    remedy: refusal.remedy,
-                    retry_after_ms: u64::from(refusal.retry_after_ms),
-                };
-                last = Some(ended(stage, trail, &delivered));
-            }
+            Attempted::NotRun(refusal) => Stage::from(refusal),
             Attempted::Lost(why) => {
                 trail.may_have_run = true;
-                last = Some(ended(Stage::Failed(why), trail, &delivered));
+                Stage::Failed(why)
             }
-        }
+        };
+        last = Some(ended(stage, trail, &delivered));
     }
     let fallback = ended(
         Stage::Failed("no attempt is left".into()),
@@ -265,21 +251,17 @@
 
 fn done(
     entry: &Entry,
-    job: &Job<'_>,
     runner: RunnerKey,
-    prompt_tokens: u32,
-    output_tokens: u32,
+    line: Line,
     delivered: Delivered,
 ) -> StepDone {
     let room = &entry.node.settings.process.room;
     let runners = entry.runners();
-    let outside = runners
-        .get(runner)
-        .is_some_and(|runner| runner.report.locality.room != *room);
+    let known = runners.get(runner);
     StepDone {
-        line: line(job, prompt_tokens, output_tokens),
+        line,
         text: delivered.text,
-        served_outside: outside,
+        served_outside: known.is_some_and(|r| r.report.locality.room != *room),
     }
 }
 
--- a/crates/entry/src/cascade.rs
+++ b/crates/entry/src/cascade.rs
@@ -66,6 +66,7 @@
             Err(StepError::Request(_)) if !rest.is_empty() => continue,
             Err(error) => return Err(Unserved { lines, error }),
         };
+        trail.has_run = true;
         lines.push(done.line.clone());
         if step.pass_rating.is_some() && !passes(entry, request, step, &done).await {
             entry.node.metrics.count("escalated");
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -207,7 +207,8 @@
                     },
                 );
             }
-            StepError::Request(error) => {
+            StepError::Request(mut error) => {
+                error.ran = trail.ran(error.ran);
                 let code = error.code().to_owned();
                 note(
                     &entry,
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -4,7 +4,7 @@
 use displaydoc::Display;
 use route::{AdmissionError, NoRunner, RouteError, TicketError};
 use serde::Serialize;
-use wire::Ran;
+use wire::{Ran, Refusal};
 
 /// Wait that a caller is told where an entry or its view is the reason, ms.
 const ENTRY_RETRY_MS: u64 = 1_000;
@@ -53,6 +53,16 @@
     Unknown(String),
 }
 
+impl From<Refusal> for Stage {
+    fn from(refusal: Refusal) -> Self {
+        Stage::Refused {
+            reason: refusal.reason,
+            remedy: refusal.remedy,
+            retry_after_ms: u64::from(refusal.retry_after_ms),
+        }
+    }
+}
+
 /// Why a request got no whole answer, and whether it ran.
 #[derive(Clone, Debug, derive_more::Display, Eq, PartialEq)]
 #[display("{stage}")]
--- /dev/null
+++ b/crates/entry/src/http/mod.rs
@@ -0,0 +1,283 @@
+//! Callers' HTTP interface.
+
+mod request;
+mod response;
+
+use std::sync::Arc;
+
+use ::http::{HeaderName, StatusCode};
+use claim::{ClaimState, Ending};
+use config::check_name;
+use serde::Serialize;
+use serde_json::{Value, json};
+use volo_http::{
+    request::Request,
+    response::Response,
+    server::{
+        Router,
+        route::{get, post},
+    },
+};
+
+use self::{
+    request::{
+        IDEMPOTENCY_KEY, REQUEST_ID, bearer, check_ready, id, read_body, read_head,
+    },
+    response::{
+        error_response, json_response, raw_response, set, stream_response,
+        whole_response,
+    },
+};
+use crate::{
+    Entry, RequestError, Stage,
+    answer::Piece,
+    chat::{self, ChatBody},
+    service::{self, ServiceRequest},
+    state::InProgress,
+};
+
+/// The routes.
+pub(crate) fn router(entry: Arc<Entry>) -> Router {
+    let handler = |entry: &Arc<Entry>| entry.clone();
+    let (chat, services) = (handler(&entry), handler(&entry));
+    let (requests, outcomes) = (handler(&entry), handler(&entry));
+    let (models, ready) = (handler(&entry), handler(&entry));
+    Router::new()
+        .route(
+            "/v1/chat/completions",
+            post(move |req: Request| chat_call(chat, req)),
+        )
+        .route(
+            "/v1/services/{*rest}",
+            post(move |req: Request| service_call(services, req)),
+        )
+        .route(
+            "/v1/requests/{id}",
+            get(move |req: Request| request_state(requests, req)),
+        )
+        .route(
+            "/v1/outcomes/{key}",
+            get(move |req: Request| key_outcome(outcomes, req)),
+        )
+        .route(
+            "/v1/models",
+            get(move |req: Request| list_models(models, req)),
+        )
+        .route("/ready", get(move |_req: Request| readiness(ready)))
+        .fallback(|_req: Request| async { error_response(&Stage::NotFound.into(), "") })
+}
+
+fn fresh_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+async fn chat_call(entry: Arc<Entry>, request: Request) -> Response {
+    let request_id = fresh_id();
+    let guard = entry.begin();
+    entry.node.metrics.count("request");
+    match chat_answer(&entry, request, &request_id, guard).await {
+        Ok(response) => response,
+        Err(err) => {
+            entry.node.metrics.count("refused");
+            error_response(&err, &request_id)
+        }
+    }
+}
+
+async fn chat_answer(
+    entry: &Arc<Entry>,
+    request: Request,
+    request_id: &str,
+    guard: InProgress,
+) -> Result<Response, RequestError> {
+    let (parts, body) = request.into_parts();
+    let head = read_head(entry, &parts.headers, request_id)?;
+    let started = head.started;
+    let body = read_body(entry, body).await?;
+    let chat = ChatBody::parse(&body)?;
+    let mut pieces = chat::start(entry, head, &chat, body)?;
+    let first = pieces.recv().await;
+    let answer_head = match first {
+        Some(Piece::Head(head)) => head,
+        Some(Piece::Error(err)) => return Err(err),
+        _ => return Err(Stage::Failed("the answer did not start".into()).into()),
+    };
+    let waited_ms = entry.node.now().since(started);
+    entry.node.metrics.time_ms("first_token", waited_ms);
+    if chat.stream {
+        Ok(stream_response(request_id, answer_head, pieces, guard))
+    } else {
+        whole_response(request_id, answer_head, pieces).await
+    }
+}
+
+async fn service_call(entry: Arc<Entry>, request: Request) -> Response {
+    let request_id = fresh_id();
+    let _guard = entry.begin();
+    entry.node.metrics.count("request");
+    match service_answer(&entry, request, &request_id).await {
+        Ok(response) => response,
+        Err(err) => error_response(&err, &request_id),
+    }
+}
+
+async fn service_answer(
+    entry: &Arc<Entry>,
+    request: Request,
+    request_id: &str,
+) -> Result<Response, RequestError> {
+    let (parts, body) = request.into_parts();
+    let head = read_head(entry, &parts.headers, request_id)?;
+    let key = id(&parts.headers, IDEMPOTENCY_KEY)?.to_owned();
+    let rest = parts
+        .uri
+        .path()
+        .strip_prefix("/v1/services/")
+        .unwrap_or_default();
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    check_name("service", name).map_err(|err| Stage::BadRequest(err.to_string()))?;
+    let config = entry.config();
+    let service = config.services.get(name).map(|entity| entity.value.clone());
+    let unknown = || Stage::Route(route::RouteError::UnknownModel(name.to_owned()));
+    let service = service.ok_or_else(unknown)?;
+    let body = read_body(entry, body).await?;
+    let request = ServiceRequest {
+        request_id: request_id.to_owned(),
+        key: if key.is_empty() {
+            request_id.to_owned()
+        } else {
+            key
+        },
+        path: format!("/{path}"),
+        team: head.team,
+        service,
+        body,
+        deadline: head.deadline,
+        started: head.started,
+    };
+    // A call that may not be repeated goes on when its caller is gone.
+    let task = tokio::spawn({
+        let entry = entry.clone();
+        async move { service::run(&entry, request).await }
+    });
+    let answer = task
+        .await
+        .map_err(|_| Stage::Failed("the call broke off".into()))??;
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let mut response = raw_response(status, answer.body);
+    set(
+        response.headers_mut(),
+        HeaderName::from_static(REQUEST_ID),
+        request_id,
+    );
+    let replayed = if answer.replayed { "yes" } else { "no" };
+    set(
+        response.headers_mut(),
+        HeaderName::from_static("x-replayed"),
+        replayed,
+    );
+    Ok(response)
+}
+
+fn last_segment(request: &Request) -> String {
+    let path = request.uri().path();
+    path.rsplit('/').next().unwrap_or_default().to_owned()
+}
+
+/// The state of a request, by our id or the caller's own.
+async fn request_state(entry: Arc<Entry>, request: Request) -> Response {
+    let team = match bearer(&entry, request.headers()) {
+        Ok(team) => team,
+        Err(err) => return error_response(&err, ""),
+    };
+    let request_id = last_segment(&request);
+    // Another team's request looks like one that never was.
+    match entry.outcomes().get(&team.name, &request_id) {
+        Some(outcome) => json_response(StatusCode::OK, &outcome),
+        None => json_response(
+            StatusCode::NOT_FOUND,
+            &json!({
+                "state": "unknown",
+                "remedy": "this entry does not know the request; ask by idempotency key, or another entry",
+            }),
+        ),
+    }
+}
+
+#[derive(Serialize)]
+struct KeyOutcome {
+    state: &'static str,
+    request_id: String,
+    status: Option<u16>,
+    answer: Option<String>,
+}
+
+/// The outcome of a key of non-idempotent work, from the log's claims.
+async fn key_outcome(entry: Arc<Entry>, request: Request) -> Response {
+    let team = match bearer(&entry, request.headers()) {
+        Ok(team) => team,
+        Err(err) => return error_response(&err, ""),
+    };
+    let key = last_segment(&request);
+    if !entry.node.claims.is_read(&team.name, &key) {
+        return error_response(&Stage::NotReady.into(), "");
+    }
+    let outcome = match entry.node.claims.state(&team.name, &key) {
+        ClaimState::Free => KeyOutcome {
+            state: "not_run",
+            request_id: String::new(),
+            status: None,
+            answer: None,
+        },
+        ClaimState::Running { claim } => KeyOutcome {
+            state: "unknown",
+            request_id: claim.request_id,
+            status: None,
+            answer: None,
+        },
+        ClaimState::Ended {
+            claim,
+            ending,
+            status,
+            answer,
+        } => KeyOutcome {
+            state: if ending == Ending::Done {
+                "done"
+            } else {
+                "unknown"
+            },
+            request_id: claim.request_id,
+            status: (ending == Ending::Done).then_some(status),
+            answer: (!answer.is_empty()).then_some(answer),
+        },
+    };
+    json_response(StatusCode::OK, &outcome)
+}
+
+/// Models and cascades that the team may name.
+async fn list_models(entry: Arc<Entry>, request: Request) -> Response {
+    let team = match bearer(&entry, request.headers()) {
+        Ok(team) => team,
+        Err(err) => return error_response(&err, ""),
+    };
+    let config = entry.config();
+    let may_use = |model: &str| {
+        let versions = config.versions.get(model);
+        versions
+            .is_some_and(|all| all.keys().any(|v| config.permits(&team.name, model, v)))
+    };
+    let models = config.models.keys().filter(|model| may_use(model));
+    let names = models.chain(config.cascades.keys());
+    let data: Vec<Value> = names
+        .map(|id| json!({"id": id, "object": "model"}))
+        .collect();
+    json_response(StatusCode::OK, &json!({"object": "list", "data": data}))
+}
+
+/// Whether the balancer should send requests here.
+async fn readiness(entry: Arc<Entry>) -> Response {
+    match check_ready(&entry) {
+        Ok(()) => json_response(StatusCode::OK, &json!({"ready": true})),
+        Err(err) => error_response(&err, ""),
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod http;
 mod outcomes;
 mod peer;
+mod pick;
 mod rate;
 mod rollout;
 mod service;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -16,7 +16,9 @@
     Ran, Refusal,
 };
 
-use crate::{Entry, RequestError, Stage, attempt::settle, outcomes::Outcome};
+use crate::{
+    Entry, RequestError, Stage, attempt::settle, outcomes::Outcome, pick::Picked,
+};
 
 /// Longest wait for a void to be read back, ms.
 const VOID_MS: u64 = 1_000;
@@ -152,52 +154,28 @@
     let mut tried = Vec::new();
     let mut last: Option<RequestError> = None;
     for number in 1..=entry.node.settings.entry.attempts_max {
-        let now = entry.node.now();
-        if now >= request.deadline {
-            break;
-        }
-        if number == 1 {
-            entry.retries().first_attempt(now);
-        } else if !entry.retries().try_retry(now) {
+        if entry.node.now() >= request.deadline {
             break;
         }
-        let picked = {
-            let settings = entry.pick_settings();
-            let mut rng = entry.rng();
-            let target = Target::Service(&request.service.name);
-            entry
-                .runners()
-                .pick(target, &tried, &settings, now, &mut *rng)
-        };
-        let runner = match picked {
-            Ok(runner) => runner,
-            Err(err) => return Err(last.unwrap_or(Stage::NoRunner(err).into())),
+        let target = Target::Service(&request.service.name);
+        let runner = match entry.pick(target, &mut tried) {
+            Picked::Runner(runner) => runner,
+            Picked::OverBudget => break,
+            Picked::Nowhere(err) => {
+                return Err(last.unwrap_or(Stage::NoRunner(err).into()));
+            }
         };
-        tried.push(runner);
         let id = AttemptId {
             request_id: request.request_id.clone(),
             attempt: number,
         };
-        let holder = entry.runners().instance_of(runner);
-        entry.runners().sent(runner);
-        let mut attempted = attempt(entry, request, runner, &id, agents).await;
-        let now = entry.node.now();
-        let outcome = match &attempted {
-            Attempted::Whole(_) => RunnerOutcome::Good {
-                took_ms: now.since(request.started),
-            },
-            Attempted::Lost(_) => RunnerOutcome::Bad,
-            _ => RunnerOutcome::Neutral,
-        };
-        entry.runners().ended(runner, outcome, now);
-        if let Attempted::Lost(agent) = attempted
-            && !request.service.idempotent
-        {
-            attempted = resolve(entry, request, &id, agent, &holder).await;
-        }
-        match attempted {
+        match counted_attempt(entry, request, runner, &id, agents).await {
             Attempted::Whole(answer) => return Ok(answer),
-            Attempted::Final(err) => return Err(err),
+            Attempted::Final(mut err) => {
+                // An earlier attempt may have run.
+                err.ran = last.map_or(err.ran, |last| last.ran);
+                return Err(err);
+            }
             Attempted::KeyTaken => return await_other(entry, request).await,
             Attempted::Unknown => return Err(unknown(request)),
             Attempted::Lost(_) if !request.service.idempotent => {
@@ -205,18 +183,12 @@
             }
             Attempted::Lost(_) => {
                 let stage = Stage::Failed("the connection ended".into());
-                last = Some(RequestError {
-                    stage,
-                    ran: Ran::Unknown,
-                });
+                let ran = Ran::Unknown;
+                last = Some(RequestError { stage, ran });
             }
             Attempted::NotRun(refusal) => {
                 let ran = last.as_ref().map_or(Ran::No, |err| err.ran);
-                let stage = Stage::Refused {
-                    reason: refusal.reason,
-                    remedy: refusal.remedy,
-                    retry_after_ms: u64::from(refusal.retry_after_ms),
-                };
+                let stage = Stage::from(refusal);
                 last = Some(RequestError { stage, ran });
             }
         }
@@ -224,6 +196,36 @@
     Err(last.unwrap_or(Stage::Deadline.into()))
 }
 
+/// Makes one attempt, counts it for its runner, and finds out from the log
+/// what became of a call that must not be repeated.
+async fn counted_attempt(
+    entry: &Arc<Entry>,
+    request: &ServiceRequest,
+    runner: SocketAddr,
+    id: &AttemptId,
+    agents: &mut Vec<SocketAddr>,
+) -> Attempted {
+    let holder = entry.runners().instance_of(runner);
+    let started = entry.node.now();
+    entry.runners().sent(runner);
+    let attempted = attempt(entry, request, runner, id, agents).await;
+    let now = entry.node.now();
+    let outcome = match &attempted {
+        Attempted::Whole(_) => RunnerOutcome::Good {
+            took_ms: now.since(started),
+        },
+        Attempted::Lost(_) => RunnerOutcome::Bad,
+        _ => RunnerOutcome::Neutral,
+    };
+    entry.runners().ended(runner, outcome, now);
+    match attempted {
+        Attempted::Lost(agent) if !request.service.idempotent => {
+            resolve(entry, request, id, agent, &holder).await
+        }
+        attempted => attempted,
+    }
+}
+
 fn unknown(request: &ServiceRequest) -> RequestError {
     let place = format!("/v1/outcomes/{}", request.key);
     RequestError {
--- a/tests/util/script.rs
+++ b/tests/util/script.rs
@@ -7,25 +7,30 @@
 //! | command | does |
 //! |---|---|
 //! | `common section.key=value ...` | settings of all daemons started later |
-//! | `engine NAME versions=a@v1,b@v1 [slots= first_ms= token_ms=]` | starts an engine |
+//! | `engine NAME versions=a@v1,b@v1 [slots= first_ms= token_ms= checks_fencing=]` | starts an engine |
 //! | `service NAME` | starts a plain service |
-//! | `entry NAME room=R [section.key=value ...]` | starts an entry |
+//! | `entry NAME room=R [section.key=value ...]` | starts an entry; a value `relay:NAME` names a relay |
 //! | `agent NAME room=R endpoint=E [unlisted] [section.key=value ...]` | starts an agent |
-//! | `relay NAME to=log\|DAEMON` | starts a byte relay |
+//! | `relay NAME to=log\|DAEMON [room=R]` | starts a byte relay; peers reach the daemon through it |
 //! | `relay-mode NAME pass\|silence-open\|cut\|silence-replies\|delay-requests=MS` | changes one |
-//! | `log up\|down\|freeze\|thaw\|slow=MS\|lose-acks=N\|trim=STREAM:N\|refuse-appends=STREAM` | the log's faults |
-//! | `log-append STREAM RECORD` | a record that no daemon wrote |
-//! | `live down\|up\|remove=NAME` | the live list's faults |
-//! | `change-engine NAME frozen=yes cut_after=N bad=yes token_ms= load=V unload=V` | an engine's faults |
-//! | `change-service NAME delay_ms= hang=yes` | a service's faults |
-//! | `kill NAME`, `stop NAME`, `freeze NAME`, `thaw NAME`, `wait-exit NAME`, `restart NAME room=R [same-address]` | signals and ends |
 //! | `setup ENTRY MODEL=v1,v2 ... teams=a,b [services= idempotent=]` | creates objects by `ctl` |
-//! | `ctl ENTRY WORDS...` | operators' client; prints output and exit code |
-//! | `chat ENTRY team= model= prompt= [tokens= stream session= ticket=SLOT deadline_ms=]` | a chat call |
+//! | `ctl ENTRY [as:bob\|as:TOKEN] WORDS...` | operators' client; prints output and exit code |
+//! | `chat ENTRY team= model= prompt= [tokens= stream session= ticket=SLOT deadline_ms= priority=]` | a chat call |
 //! | `call ENTRY team= service= key= [body= deadline_ms=]` | a service call |
 //! | `get ENTRY team= path=` | a plain GET |
-//! | `wait-config ENTRY`, `wait-bills N`, `wait-runs SERVICE KEY N`, `wait-text ID`, `wait-log DAEMON TEXT`, `wait-ready ENTRY`, `wait-started ENGINE N` | waits until it holds |
+//! | `spawn ID chat\|call ...`, `join ID`, `join-length ID` | a call in the background, and its result |
+//! | `many N chat ...`, `many-any N chat ...` | calls one after the other; how often each answer came, or nothing |
+//! | `race N ENTRY ENTRY TEAM MODEL` | first requests of N sessions, at two entries at once |
+//! | `log up\|down\|freeze\|thaw\|slow=MS\|lose-acks=N\|trim=STREAM:N\|refuse-appends=STREAM` | the log's faults |
+//! | `log-append STREAM RECORD` | a record that no daemon wrote |
+//! | `live down\|up\|remove=NAME`, `rater silent\|loud` | faults of the live list and the rater |
+//! | `change-engine NAME frozen= cut_after= bad= token_ms= load=V unload=V` | an engine's faults |
+//! | `change-service NAME delay_ms= hang=` | a service's faults |
+//! | `kill NAME`, `stop NAME`, `freeze NAME`, `thaw NAME`, `wait-exit NAME`, `restart NAME room=R [same-address]` | signals and ends |
+//! | `new-ticket-key NEW OLD` | keys that daemons read at their next start |
+//! | `wait-...` | waits until it holds, or prints that it does not; see `Script::holds` |
 //! | `bills`, `runs SERVICE KEY`, `started ENGINE`, `orders ENGINE` | prints what was counted |
+//! | `sleep MS` | lets time pass |
 
 use std::{
     collections::{BTreeMap, HashMap},
