Give each non-idempotent call a connection of its own

Cause: the agent reused an idle connection to the plain service. If that had gone silent meanwhile, the call was sent into nothing and its caller heard "unknown", found while reading the client's pool for retries (it makes none). Ruled out: a shorter idle time (a silent connection shows nothing until used). Before: `502 outcome_unknown/unknown`, 0 runs; after: `200`, 1 run (regression_stale_service_connection).

--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -14,7 +14,7 @@
 use volo_http::client::{Client, ClientBuilder};
 use wire::AttemptId;
 
-/// Connections to the endpoint that wait unused.
+/// Connections to a model engine that wait unused.
 const IDLE_CONNECTIONS: usize = 64;
 
 /// What the engine last said of its load.
@@ -57,7 +57,14 @@
             start_within_ms: settings.start_within_ms,
         };
         let mut builder = ClientBuilder::new();
-        builder.set_max_idle_per_host(IDLE_CONNECTIONS);
+        // An idle connection may have gone silent: a call that must not be
+        // repeated would be lost on it, and nobody would know whether it ran.
+        let idle = if settings.service.is_empty() {
+            IDLE_CONNECTIONS
+        } else {
+            0
+        };
+        builder.set_max_idle_per_host(idle);
         let client = builder.build().expect("a client without TLS always builds");
         let agent = Rc::new(Agent {
             node,
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use config::{Config, WithdrawMode};
-use gate::{Context, Decision, Gate, GateLimits, Reason, Work};
+use gate::{Admitted, Context, Decision, Gate, GateLimits, Permit, Reason, Work};
 use store::Health;
 use wire::{AttemptId, AttemptState};
 
@@ -39,6 +39,17 @@
     }
 }
 
+/// A place whose configuration lets the team call the service.
+fn place_with_service() -> Place {
+    let mut folded = two_versions();
+    folded.change(config::Change::Team(config::TeamSpec {
+        name: "members".into(),
+        services: vec!["filing".into()],
+        ..config::TeamSpec::default()
+    }));
+    Place::new(folded.config)
+}
+
 fn work(request: &str, version: &str) -> Work {
     Work {
         id: AttemptId {
@@ -68,6 +79,14 @@
     }
 }
 
+/// Admits work that nothing speaks against yet.
+fn admitted(gate: &mut Gate, work: Work, place: &Place) -> Permit<Admitted> {
+    match gate.admit(work, 0, place.cx()) {
+        Decision::Admit(permit) => permit,
+        other => panic!("it is allowed so far: {other:?}"),
+    }
+}
+
 fn refusal(decision: Decision) -> Option<Reason> {
     match decision {
         Decision::Refuse(reason) => Some(reason),
@@ -80,9 +99,7 @@
     let mut folded = two_versions();
     let mut gate = Gate::new(GateLimits::default());
     let mut place = Place::new(folded.config.clone());
-    let Decision::Admit(permit) = gate.admit(work("r1", "v1"), 0, place.cx()) else {
-        panic!("it is allowed so far");
-    };
+    let permit = admitted(&mut gate, work("r1", "v1"), &place);
     folded.change(withdraw("draft", "v1", WithdrawMode::Now));
     place.config = folded.config.clone();
     assert_eq!(
@@ -97,9 +114,7 @@
     let mut folded = two_versions();
     let mut gate = Gate::new(GateLimits::default());
     let mut place = Place::new(folded.config.clone());
-    let Decision::Admit(permit) = gate.admit(work("r1", "v1"), 0, place.cx()) else {
-        panic!("it is allowed so far");
-    };
+    let permit = admitted(&mut gate, work("r1", "v1"), &place);
     folded.change(team("members", &["draft@v2"]));
     place.config = folded.config.clone();
     assert_eq!(
@@ -149,9 +164,7 @@
 fn tombstone_asked_for_too_late_tells_that_it_runs() {
     let mut gate = Gate::new(GateLimits::default());
     let place = Place::new(two_versions().config);
-    let Decision::Admit(permit) = gate.admit(work("r1", "v1"), 0, place.cx()) else {
-        panic!("it is allowed");
-    };
+    let permit = admitted(&mut gate, work("r1", "v1"), &place);
     let id = permit.work().id.clone();
     assert_eq!(gate.tombstone(&id, place.now), AttemptState::Running);
     let twice = gate.admit(work("r1", "v1"), 0, place.cx());
@@ -165,17 +178,8 @@
         ..GateLimits::default()
     };
     let mut gate = Gate::new(limits);
-    let mut folded = two_versions();
-    let spec = config::TeamSpec {
-        name: "members".into(),
-        services: vec!["filing".into()],
-        ..config::TeamSpec::default()
-    };
-    folded.change(config::Change::Team(spec));
-    let mut place = Place::new(folded.config);
-    let Decision::Admit(permit) = gate.admit(filing("r1"), 0, place.cx()) else {
-        panic!("it is allowed");
-    };
+    let mut place = place_with_service();
+    let permit = admitted(&mut gate, filing("r1"), &place);
     let permit = permit.claimed(place.now);
     place.now = place.now.plus(101);
     assert_eq!(
@@ -183,9 +187,7 @@
         Some(Reason::Paused)
     );
     // In time, it starts.
-    let Decision::Admit(permit) = gate.admit(filing("r2"), 0, place.cx()) else {
-        panic!("it is allowed");
-    };
+    let permit = admitted(&mut gate, filing("r2"), &place);
     let permit = permit.claimed(place.now);
     assert!(gate.start_claimed(permit, place.cx()).is_ok());
 }
@@ -193,17 +195,8 @@
 #[test]
 fn non_idempotent_work_never_starts_without_a_claim() {
     let mut gate = Gate::new(GateLimits::default());
-    let mut folded = two_versions();
-    let spec = config::TeamSpec {
-        name: "members".into(),
-        services: vec!["filing".into()],
-        ..config::TeamSpec::default()
-    };
-    folded.change(config::Change::Team(spec));
-    let place = Place::new(folded.config);
-    let Decision::Admit(permit) = gate.admit(filing("r1"), 0, place.cx()) else {
-        panic!("it is allowed");
-    };
+    let place = place_with_service();
+    let permit = admitted(&mut gate, filing("r1"), &place);
     assert_eq!(gate.start(permit, place.cx()).err(), Some(Reason::NoClaim));
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -71,6 +71,7 @@
     regression_echoed_news
     regression_entry_count
     regression_silent_neighbour
+    regression_stale_service_connection
     rollout_halts
     session_keeps_version
     session_race
--- a/tests/util/script.rs
+++ b/tests/util/script.rs
@@ -11,7 +11,7 @@
 //! | `service NAME` | starts a plain service |
 //! | `entry NAME room=R [section.key=value ...]` | starts an entry; a value `relay:NAME` names a relay |
 //! | `agent NAME room=R endpoint=E [unlisted] [section.key=value ...]` | starts an agent |
-//! | `relay NAME to=log\|DAEMON [room=R]` | starts a byte relay; peers reach the daemon through it |
+//! | `relay NAME to=log\|SERVICE\|DAEMON [room=R]` | starts a byte relay; peers reach a daemon through it |
 //! | `relay-mode NAME pass\|silence-open\|cut\|silence-replies\|delay-requests=MS` | changes one |
 //! | `setup ENTRY MODEL=v1,v2 ... teams=a,b [services= idempotent=]` | creates objects by `ctl` |
 //! | `ctl ENTRY [as:bob\|as:TOKEN] WORDS...` | operators' client; prints output and exit code |
@@ -236,13 +236,17 @@
             }
             _ => {
                 let to = args.need("to");
-                let address = if to == "log" {
+                let service = self.world.services.get(to);
+                let is_daemon = to != "log" && service.is_none();
+                let address = if let Some(service) = service {
+                    service.address
+                } else if to == "log" {
                     self.world.log.address
                 } else {
                     self.world.address(to, "peers")
                 };
                 let relay = Relay::start(address).await;
-                if to != "log" {
+                if is_daemon {
                     // Peers reach the daemon through the relay from now on.
                     let role = if to.starts_with("entry") {
                         "entry"
