Leave nothing behind when the log does not take a claim

Cause: a claim that could not be sent stayed queued, with a void and an end behind it, so a long outage gathered three events for each refused call.

Change: an event that was not sent is taken back when its submitter gives up (`ClaimError::NotSent`), and then needs no void. Test: 50 calls in an outage leave nothing pending and at most three records (not run before the change, as the outcome did not exist). A script with a slow log joins the scenarios.

--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -7,6 +7,7 @@
 use claim::{Claim, ClaimEvent, ClaimState, Ending, Standing, claim_id};
 use gate::{Admitted, Permit, Reason, Started};
 use log::warn;
+use node::ClaimError;
 use telemetry::Event;
 use volo_http::{
     body::{Body, BodyConversion},
@@ -81,8 +82,10 @@
     let asked_at = agent.now();
     let wait_ms = agent.node.settings.agent.start_within_ms;
     let event = ClaimEvent::Claim(own.clone());
-    if book.submit(team, key, event, wait_ms).await.is_err() {
-        give_up(agent, dispatch);
+    if let Err(err) = book.submit(team, key, event, wait_ms).await {
+        if err == ClaimError::NoAnswer {
+            give_up(agent, dispatch);
+        }
         return Err(refuse(agent, dispatch, Reason::NoClaim));
     }
     agent
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -28,6 +28,8 @@
 pub enum ClaimError {
     /// the log did not take the claim in time; whether it stands is not known yet
     NoAnswer,
+    /// the log did not take the claim in time; it was not sent and will not be
+    NotSent,
     /// this process has not read all claims yet; come back shortly
     Behind,
     /// the log holds claims of a newer build; upgrade this instance
@@ -36,7 +38,13 @@
 
 impl std::error::Error for ClaimError {}
 
-type Done = oneshot::Sender<()>;
+/// An event that waits for the log, and who waits for it.
+#[derive(Debug)]
+struct Pending {
+    serial: u64,
+    event: ClaimEvent,
+    done: oneshot::Sender<()>,
+}
 
 #[derive(Debug, Default)]
 struct Partition {
@@ -44,10 +52,35 @@
     offset: watch::Sender<u64>,
     /// When a read last reached the end of the stream; 0 never.
     read_to_end_ms: AtomicU64,
-    pending: Mutex<Vec<(ClaimEvent, Done)>>,
+    pending: Mutex<Vec<Pending>>,
+    serials: AtomicU64,
     wake: Notify,
 }
 
+impl Partition {
+    /// Queues an event; returns its serial and what tells that it was read
+    /// back.
+    fn push(&self, event: ClaimEvent) -> (u64, oneshot::Receiver<()>) {
+        let serial = self.serials.fetch_add(1, Ordering::Relaxed);
+        let (done, read_back) = oneshot::channel();
+        lock(&self.pending).push(Pending {
+            serial,
+            event,
+            done,
+        });
+        self.wake.notify_one();
+        (serial, read_back)
+    }
+
+    /// Takes an event back that was not sent yet.
+    fn take_back(&self, serial: u64) -> bool {
+        let mut pending = lock(&self.pending);
+        let before = pending.len();
+        pending.retain(|waiting| waiting.serial != serial);
+        pending.len() < before
+    }
+}
+
 /// All partitions of claims, as this process knows them.
 #[derive(Debug)]
 pub struct ClaimBook {
@@ -93,8 +126,9 @@
     /// Puts an event on the log and waits until it was read back.
     ///
     /// An append without an answer is repeated: each event has the same
-    /// effect twice as once.  After `wait_ms` the event may still come to
-    /// stand.
+    /// effect twice as once.  After `wait_ms` an event that was sent may still
+    /// come to stand; one that was not is taken back, so that a long outage
+    /// leaves nothing behind.
     pub async fn submit(
         &self,
         team: &str,
@@ -109,22 +143,18 @@
         if partition.read_to_end_ms.load(Ordering::Relaxed) == 0 {
             return Err(ClaimError::Behind);
         }
-        let (done, read_back) = oneshot::channel();
-        lock(&partition.pending).push((event, done));
-        partition.wake.notify_one();
+        let (serial, read_back) = partition.push(event);
         let limit = Duration::from_millis(wait_ms);
         match tokio::time::timeout(limit, read_back).await {
             Ok(Ok(())) => Ok(()),
+            _ if partition.take_back(serial) => Err(ClaimError::NotSent),
             _ => Err(ClaimError::NoAnswer),
         }
     }
 
     /// Puts an event on the log when it can; nobody waits for it.
     pub fn post(&self, team: &str, key: &str, event: ClaimEvent) {
-        let partition = self.partition(team, key);
-        let (done, _) = oneshot::channel();
-        lock(&partition.pending).push((event, done));
-        partition.wake.notify_one();
+        self.partition(team, key).push(event);
     }
 
     /// Keys that this process remembers.
@@ -196,12 +226,11 @@
     loop {
         partition.wake.notified().await;
         tokio::time::sleep(gather).await;
-        let batch: Vec<(ClaimEvent, Done)> =
-            std::mem::take(&mut *lock(&partition.pending));
+        let batch: Vec<Pending> = std::mem::take(&mut *lock(&partition.pending));
         if batch.is_empty() {
             continue;
         }
-        let events = batch.iter().map(|(event, _)| event.clone()).collect();
+        let events = batch.iter().map(|waiting| waiting.event.clone()).collect();
         let record = ClaimRecord::new(node.clock.wall().0, events).encode();
         let offset = append_until_taken(&node.store, &stream, &record).await;
         let mut watch = partition.offset.subscribe();
@@ -210,8 +239,8 @@
         tokio::spawn(async move {
             let _ = watch.wait_for(|next| *next > offset).await;
             drop(partition);
-            for (_, done) in batch {
-                let _ = done.send(());
+            for waiting in batch {
+                let _ = waiting.done.send(());
             }
         });
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -64,6 +64,7 @@
     graceful_agent
     graceful_entry
     leaving_endpoint
+    log_slow
     not_run_frozen_agent
     not_run_silent_connection
     orders
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod bad_input;
+mod claim_book;
 mod claims;
 mod command_line;
 mod configuration;
