Load through a rate-limited weight store; give a refused order again after a drawn pause

Cause: the weight store is rate-limited, and an agent gave a refused order again every 0.2 s, in step with all others.

Change: a pause of 0.5 to 1 s, drawn. Stand-ins: a weight store, a lagging load report and a prefix cache of the engine. Test: three engines load a version through a store that gives out one in 0.4 s; all have it in the end.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use log::{info, warn};
+use rand::RngExt;
 use serde::Serialize;
 use store::{CONFIG_STREAM, Health};
 use telemetry::Event;
@@ -28,6 +29,9 @@
 /// Longest wait for the engine to carry out an order, ms.
 const ORDER_TIMEOUT_MS: u64 = 60_000;
 
+/// Least pause after an order that was not carried out, ms.
+const AGAIN_MS: u64 = 500;
+
 #[derive(Clone, Debug, Serialize)]
 struct Order {
     fence: u64,
@@ -59,7 +63,11 @@
             continue;
         }
         acted_on = order.fence;
-        send(&agent, &order).await;
+        if !send(&agent, &order).await {
+            // The weight store is rate-limited, and many engines may ask.
+            let pause_ms = rand::rng().random_range(AGAIN_MS..2 * AGAIN_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
     }
 }
 
@@ -113,7 +121,8 @@
     at_end && placement.is_some_and(|placement| placement.revision == order.fence)
 }
 
-async fn send(agent: &Agent, order: &Order) {
+/// Gives an order; tells whether the engine carried it out.
+async fn send(agent: &Agent, order: &Order) -> bool {
     let address = agent.node.settings.agent.endpoint_address;
     let body = serde_json::to_vec(order).expect("an order always encodes");
     let request = agent
@@ -128,7 +137,10 @@
         .with("version", &order.version)
         .with("fence", order.fence);
     match sent {
-        Ok(Ok(response)) if response.status().is_success() => info!("{event}"),
+        Ok(Ok(response)) if response.status().is_success() => {
+            info!("{event}");
+            return true;
+        }
         Ok(Ok(response)) if response.status() == StatusCode::CONFLICT => {
             warn!(
                 "{}",
@@ -139,4 +151,5 @@
         Ok(Err(err)) => warn!("{}", event.with("failed", err)),
         Err(_) => warn!("{}", event.with("failed", "no answer in time")),
     }
+    false
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -4,7 +4,7 @@
     collections::{BTreeSet, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 use volo_http::{
     body::{Body, BodyConversion},
+    client::Client,
     request::Request,
     response::Response,
 };
@@ -47,6 +48,12 @@
     pub frozen: bool,
     /// Answers say that they are bad.
     pub bad: bool,
+    /// Weight store that a version is loaded from, if any.
+    pub weights: Option<SocketAddr>,
+    /// Prompts whose prefixes stay cached; a cached one starts sooner.
+    pub cached_prompts: usize,
+    /// Age of the load that is reported, ms.
+    pub report_lag_ms: u64,
 }
 
 impl Default for EngineModel {
@@ -59,6 +66,9 @@
             cut_after: None,
             frozen: false,
             bad: false,
+            weights: None,
+            cached_prompts: 0,
+            report_lag_ms: 0,
         }
     }
 }
@@ -85,6 +95,10 @@
     state: EngineState,
     waiting: VecDeque<(u8, u64, Arc<Notify>)>,
     serial: u64,
+    /// Tags of cached prompts, oldest first.
+    cached: VecDeque<String>,
+    /// Loads of before, oldest first: when, running, queued.
+    loads: VecDeque<(Instant, u32, u32)>,
 }
 
 /// An engine in this process.
@@ -207,15 +221,30 @@
         }
     }
 
+    /// Running and queued as they were `lag_ms` ago, as far as is known.
+    fn lagging_load(&self, lag_ms: u64) -> (u32, u32) {
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let load = (now, inner.state.running, inner.state.queued);
+        inner.loads.push_back(load);
+        let lag = Duration::from_millis(lag_ms);
+        while inner.loads.len() > 1 && inner.loads[1].0 + lag <= now {
+            inner.loads.pop_front();
+        }
+        let (_, running, queued) = inner.loads[0];
+        (running, queued)
+    }
+
     fn load(&self) -> Response {
         let model = self.model();
         let state = self.state();
+        let (running, queued) = self.lagging_load(model.report_lag_ms);
         json(
             StatusCode::OK,
             &LoadBody {
                 versions: state.versions,
-                running: state.running,
-                queued: state.queued,
+                running,
+                queued,
                 slots: model.slots,
                 token_us: model.token_ms * 1_000,
                 fence: state.fence,
@@ -228,9 +257,13 @@
         let Ok(order) = serde_json::from_slice::<OrderBody>(&body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let checks = self.model().checks_fencing;
+        let model = self.model();
+        if order.order == "load" && !fetch_weights(model.weights, &order.version).await
+        {
+            return empty(StatusCode::TOO_MANY_REQUESTS);
+        }
         let mut inner = self.lock();
-        if checks && order.fence < inner.state.fence {
+        if model.checks_fencing && order.fence < inner.state.fence {
             return empty(StatusCode::CONFLICT);
         }
         inner.state.fence = inner.state.fence.max(order.fence);
@@ -294,6 +327,17 @@
     }
 }
 
+/// Whether the weight store gave a version out; without one it is at hand.
+async fn fetch_weights(weights: Option<SocketAddr>, version: &str) -> bool {
+    let Some(address) = weights else {
+        return true;
+    };
+    let request =
+        Client::default().get(format!("http://{address}/v1/weights/{version}"));
+    let answer: Result<Response, _> = request.send().await;
+    answer.is_ok_and(|response| response.status().is_success())
+}
+
 /// A place in the queue; left again when the request is cancelled.
 struct Queued {
     engine: Engine,
@@ -378,7 +422,24 @@
     Cut,
 }
 
+/// A cached prompt starts so many times sooner.
+const CACHED_DIVISOR: u64 = 4;
+
 impl Generation {
+    /// Whether the prompt was cached; it is from now on, among `most`.
+    fn is_cached(&self, most: usize) -> bool {
+        let mut inner = self.engine.lock();
+        let known = inner.cached.iter().position(|tag| *tag == self.tag);
+        if let Some(at) = known {
+            inner.cached.remove(at);
+        }
+        inner.cached.push_back(self.tag.clone());
+        while inner.cached.len() > most {
+            inner.cached.pop_front();
+        }
+        known.is_some()
+    }
+
     async fn step(&mut self) -> Step {
         let model = self.engine.model();
         if model.frozen {
@@ -398,10 +459,12 @@
             return Step::End(format!("data: {usage}\n\ndata: [DONE]\n\n"));
         }
         let first = self.at == self.chat.resume_tokens;
-        let pause_ms = if first {
-            model.first_token_ms
-        } else {
-            model.token_ms
+        let pause_ms = match first {
+            true if self.is_cached(model.cached_prompts) => {
+                model.first_token_ms / CACHED_DIVISOR
+            }
+            true => model.first_token_ms,
+            false => model.token_ms,
         };
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         let mark = if model.bad { "bad:" } else { "" };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod plain;
 mod rater;
 mod relay;
+mod weights;
 
 pub use engine::{Engine, EngineModel, EngineState};
 pub use live::LiveService;
@@ -18,3 +19,4 @@
 pub use plain::{PlainFaults, PlainService};
 pub use rater::RaterService;
 pub use relay::{Relay, RelayMode};
+pub use weights::WeightStore;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -68,6 +68,7 @@
     not_run_frozen_agent
     not_run_silent_connection
     orders
+    orders_rate_limited
     path
     regression_echoed_news
     regression_entry_count
--- a/tests/util/script.rs
+++ b/tests/util/script.rs
@@ -7,7 +7,8 @@
 //! | command | does |
 //! |---|---|
 //! | `common section.key=value ...` | settings of all daemons started later |
-//! | `engine NAME versions=a@v1,b@v1 [slots= first_ms= token_ms= checks_fencing=]` | starts an engine |
+//! | `weights NAME every_ms=` | starts a weight store that gives out one version in so many ms |
+//! | `engine NAME versions=a@v1,b@v1 [slots= first_ms= token_ms= checks_fencing= weights= cached= lag_ms=]` | starts an engine |
 //! | `service NAME` | starts a plain service |
 //! | `entry NAME room=R [section.key=value ...]` | starts an entry; a value `relay:NAME` names a relay |
 //! | `agent NAME room=R endpoint=E [unlisted] [section.key=value ...]` | starts an agent |
@@ -39,7 +40,7 @@
 
 use datadriven::TestCase;
 use rustix::process::Signal;
-use standin::{EngineModel, Relay, RelayMode};
+use standin::{EngineModel, Relay, RelayMode, WeightStore};
 use tokio::{sync::watch, task::JoinHandle};
 
 use super::{
@@ -147,7 +148,7 @@
                 self.world.common.extend(args.settings());
                 String::new()
             }
-            "engine" | "service" | "entry" | "agent" | "relay" => {
+            "engine" | "service" | "entry" | "agent" | "relay" | "weights" => {
                 self.start(name, &args).await
             }
             "relay-mode" | "log" | "live" | "change-engine" | "change-service" => {
@@ -215,11 +216,21 @@
                         .unwrap_or(usual.first_token_ms),
                     token_ms: args.number("token_ms").unwrap_or(usual.token_ms),
                     checks_fencing: args.get("checks_fencing") != Some("no"),
+                    weights: args
+                        .get("weights")
+                        .map(|name| self.world.weights[name].address),
+                    cached_prompts: args.number("cached").unwrap_or(0) as usize,
+                    report_lag_ms: args.number("lag_ms").unwrap_or(0),
                     ..usual
                 };
                 let versions: Vec<&str> = args.need("versions").split(',').collect();
                 self.world.start_engine(name, model, &versions).await;
             }
+            "weights" => {
+                let every_ms = args.number("every_ms").expect("every_ms=");
+                let store = WeightStore::start(every_ms).await;
+                self.world.weights.insert(name.to_owned(), store);
+            }
             "service" => self.world.start_service(name).await,
             "entry" => {
                 self.world
--- a/tests/util/world.rs
+++ b/tests/util/world.rs
@@ -14,6 +14,7 @@
 use sha2::{Digest, Sha256};
 use standin::{
     Engine, EngineModel, LiveService, LogService, PlainService, RaterService, Relay,
+    WeightStore,
 };
 use store::BILL_STREAM;
 use tempfile::TempDir;
@@ -46,6 +47,7 @@
     pub engines: BTreeMap<String, Engine>,
     pub services: BTreeMap<String, PlainService>,
     pub relays: BTreeMap<String, Relay>,
+    pub weights: BTreeMap<String, WeightStore>,
     pub daemons: BTreeMap<String, Daemon>,
     starts: BTreeMap<String, Start>,
     known_peers: BTreeMap<String, SocketAddr>,
@@ -78,6 +80,7 @@
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             relays: BTreeMap::new(),
+            weights: BTreeMap::new(),
             daemons: BTreeMap::new(),
             starts: BTreeMap::new(),
             known_peers: BTreeMap::new(),
