Price a step in one place; drop what nothing calls

Found on reading the whole change once more, behaviour as it was: - the entry and the agent each worked out a step's price. Either's copy may reach the log first, so a difference would have been a wrong bill: `bill::Line::of_model` and `of_service` are the one place. - an agent without a placement read its engine's load for orders every 0.2 s beside the poll that does so already; it reads it anew only before an order. - nothing called `Gate::is_cancelled`, `Loader::config_mut` and `snapshot_at`, `Assembler::tokens`, `Admission::streams` and `running`, `Runners::iter`. - the routes' cloning closure, and a branch of the experiments that could not be taken.

--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -21,9 +21,6 @@
     service,
 };
 
-/// Tokens that a price is given for.
-const PRICED_TOKENS: u64 = 1_000;
-
 /// Runs an attempt in a task of its own.
 pub(crate) fn spawn(
     agent: Rc<Agent>,
@@ -243,14 +240,11 @@
             output_tokens,
         } => {
             // The copy stands here before the entry can tell anyone.
-            let line = Line {
-                model: dispatch.model.clone(),
-                version: dispatch.version.clone(),
-                prompt_tokens: u64::from(prompt_tokens),
-                output_tokens: u64::from(output_tokens),
-                cost_micros: price(dispatch, prompt_tokens, output_tokens),
-            };
-            hold_copy(agent, dispatch, line);
+            hold_copy(
+                agent,
+                dispatch,
+                line(dispatch, prompt_tokens, output_tokens),
+            );
             let mark = Frame {
                 tokens: output_tokens,
                 prompt_tokens,
@@ -265,14 +259,7 @@
             // A live entry bills or settles the request; a dead one's caller
             // had this much.
             if out.has_begun() {
-                let line = Line {
-                    model: dispatch.model.clone(),
-                    version: dispatch.version.clone(),
-                    output_tokens: u64::from(out.checker.tokens()),
-                    cost_micros: price(dispatch, 0, out.checker.tokens()),
-                    ..Line::default()
-                };
-                hold_copy(agent, dispatch, line);
+                hold_copy(agent, dispatch, line(dispatch, 0, out.checker.tokens()));
             }
             AttemptState::Failed("the entry is gone".into())
         }
@@ -311,14 +298,15 @@
     }
 }
 
-/// Price of a step, in millionths of a euro.
-pub(crate) fn price(
-    dispatch: &Dispatch,
-    prompt_tokens: u32,
-    output_tokens: u32,
-) -> u64 {
-    let tokens = u64::from(prompt_tokens) + u64::from(output_tokens);
-    tokens * dispatch.cost_micros / PRICED_TOKENS
+/// What the attempt used, for the bill.
+fn line(dispatch: &Dispatch, prompt_tokens: u32, output_tokens: u32) -> Line {
+    let Dispatch {
+        model,
+        version,
+        cost_micros,
+        ..
+    } = dispatch;
+    Line::of_model(model, version, prompt_tokens, output_tokens, *cost_micros)
 }
 
 /// Holds a copy of the request's bill until its owner settles it, or for the
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -47,8 +47,11 @@
     let mut acted_on = 0;
     loop {
         tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        if next_order(&agent, acted_on).is_none() {
+            continue;
+        }
         let decided_at = agent.now();
-        // An order that was just carried out is not given again.
+        // The load that was polled may lag behind an order just carried out.
         if engine::refresh_load(&agent).await.is_err() {
             continue;
         }
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -204,11 +204,7 @@
     record(agent, dispatch, &called);
     let state = match called {
         Called::Answered { status, body } => {
-            let line = Line {
-                model: dispatch.service.clone(),
-                cost_micros: dispatch.cost_micros,
-                ..Line::default()
-            };
+            let line = Line::of_service(&dispatch.service, dispatch.cost_micros);
             hold_copy(agent, dispatch, line);
             let _ = out.chunk(body, 0).await;
             let _ = out
--- a/crates/bench/src/sim/mod.rs
+++ b/crates/bench/src/sim/mod.rs
@@ -518,13 +518,12 @@
     fn deliver(&mut self, id: u64, good: bool) {
         let job = self.jobs[&id].clone();
         let whole_ms = self.now - job.arrived + 2 * self.plant.caller_ms;
-        let first_ms = if job.step == 0 || job.cost_micros > 0.0 && job.first_at == 0 {
+        // A judged step's first token goes out with its rating.
+        let first_ms = if job.step == 0 {
             whole_ms
         } else {
             job.first_at.saturating_sub(job.arrived)
         };
-        // A judged step's first token goes out with its rating.
-        let first_ms = if job.step == 0 { whole_ms } else { first_ms };
         let _ = self.out.first_ms.record(first_ms);
         let _ = self.out.whole_ms.record(whole_ms);
         if job.team != 0 {
--- a/crates/bill/src/lib.rs
+++ b/crates/bill/src/lib.rs
@@ -41,6 +41,42 @@
     pub cost_micros: u64,
 }
 
+/// Tokens that a version's price is given for.
+const PRICED_TOKENS: u64 = 1_000;
+
+impl Line {
+    /// What a step on a model used; the price is that of 1,000 tokens, in
+    /// millionths of a euro.  Every holder of a bill works it out here, so that
+    /// it does not matter whose copy gets to the log.
+    pub fn of_model(
+        model: &str,
+        version: &str,
+        prompt_tokens: u32,
+        output_tokens: u32,
+        micros_per_ktoken: u64,
+    ) -> Line {
+        let (prompt_tokens, output_tokens) =
+            (u64::from(prompt_tokens), u64::from(output_tokens));
+        Line {
+            model: model.to_owned(),
+            version: version.to_owned(),
+            prompt_tokens,
+            output_tokens,
+            cost_micros: (prompt_tokens + output_tokens) * micros_per_ktoken
+                / PRICED_TOKENS,
+        }
+    }
+
+    /// What a call of a plain service costs, in millionths of a euro.
+    pub fn of_service(service: &str, cost_micros: u64) -> Line {
+        Line {
+            model: service.to_owned(),
+            cost_micros,
+            ..Line::default()
+        }
+    }
+}
+
 /// The bill of one request, with the steps inside it.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Bill {
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -111,8 +111,6 @@
     /// Records seen before a base was found.
     waiting: Vec<(u64, String)>,
     parts: BTreeMap<(u64, String), BTreeMap<usize, String>>,
-    /// Offset of the newest whole snapshot seen.
-    pub snapshot_at: Option<u64>,
 }
 
 impl Loader {
@@ -138,7 +136,7 @@
     /// Takes the record at `offset`.  Returns the fold's verdict once there
     /// is a base.
     pub fn take(&mut self, offset: u64, body: &str) -> Option<Verdict> {
-        let whole = self.take_part(offset, body);
+        let whole = self.take_part(body);
         if let Some(config) = &mut self.config {
             return Some(config.apply(offset, body));
         }
@@ -152,13 +150,8 @@
         self.config.as_ref()
     }
 
-    /// The configuration for a change in place.
-    pub fn config_mut(&mut self) -> Option<&mut Config> {
-        self.config.as_mut()
-    }
-
     /// Collects the parts of snapshots; returns one that became whole.
-    fn take_part(&mut self, offset: u64, body: &str) -> Option<Config> {
+    fn take_part(&mut self, body: &str) -> Option<Config> {
         if !body.contains("\"snapshot\"") {
             return None;
         }
@@ -185,7 +178,6 @@
         if config.digest() != digest {
             return None;
         }
-        self.snapshot_at = Some(offset);
         self.parts.retain(|(at, _), _| *at > base);
         Some(config)
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -19,9 +19,6 @@
     pick::Picked,
 };
 
-/// Tokens that a price is given for.
-const PRICED_TOKENS: u64 = 1_000;
-
 /// Where a step's text goes: straight to the caller, or kept until a rating
 /// decides whether the caller gets it.
 pub(crate) struct Emit {
@@ -239,14 +236,8 @@
 }
 
 fn line(job: &Job<'_>, prompt_tokens: u32, output_tokens: u32) -> Line {
-    let tokens = u64::from(prompt_tokens) + u64::from(output_tokens);
-    Line {
-        model: job.model.to_owned(),
-        version: job.version.to_owned(),
-        prompt_tokens: u64::from(prompt_tokens),
-        output_tokens: u64::from(output_tokens),
-        cost_micros: tokens * job.cost_micros_per_ktoken / PRICED_TOKENS,
-    }
+    let price = job.cost_micros_per_ktoken;
+    Line::of_model(job.model, job.version, prompt_tokens, output_tokens, price)
 }
 
 fn done(
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -38,10 +38,9 @@
 
 /// The routes.
 pub(crate) fn router(entry: Arc<Entry>) -> Router {
-    let handler = |entry: &Arc<Entry>| entry.clone();
-    let (chat, services) = (handler(&entry), handler(&entry));
-    let (requests, outcomes) = (handler(&entry), handler(&entry));
-    let (models, ready) = (handler(&entry), handler(&entry));
+    let (chat, services) = (entry.clone(), entry.clone());
+    let (requests, outcomes) = (entry.clone(), entry.clone());
+    let (models, ready) = (entry.clone(), entry);
     Router::new()
         .route(
             "/v1/chat/completions",
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -126,11 +126,7 @@
 }
 
 async fn bill(entry: &Entry, request: &ServiceRequest, agents: &[SocketAddr]) {
-    let line = Line {
-        model: request.service.name.clone(),
-        cost_micros: request.service.cost_micros,
-        ..Line::default()
-    };
+    let line = Line::of_service(&request.service.name, request.service.cost_micros);
     let bill = Bill {
         request_id: request.request_id.clone(),
         team: request.team.name.clone(),
--- a/crates/gate/src/attempts.rs
+++ b/crates/gate/src/attempts.rs
@@ -241,13 +241,6 @@
         self.state(id)
     }
 
-    /// Whether an attempt is no longer wanted.
-    pub fn is_cancelled(&self, id: &AttemptId) -> bool {
-        self.attempts
-            .get(id)
-            .is_none_or(|attempt| attempt.cancelled)
-    }
-
     /// An attempt's state.
     pub fn state(&self, id: &AttemptId) -> AttemptState {
         match self.attempts.get(id).map(|attempt| &attempt.phase) {
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -189,16 +189,6 @@
             used.running = used.running.saturating_sub(1);
         }
     }
-
-    /// Requests in progress.
-    pub fn streams(&self) -> usize {
-        self.streams
-    }
-
-    /// Requests of a team in progress.
-    pub fn running(&self, team: &str) -> u32 {
-        self.teams.get(team).map_or(0, |used| used.running)
-    }
 }
 
 /// Time until the faded use falls below the part.
--- a/crates/route/src/runners.rs
+++ b/crates/route/src/runners.rs
@@ -238,11 +238,6 @@
         self.table.get(&key)
     }
 
-    /// All runners.
-    pub fn iter(&self) -> impl Iterator<Item = (&RunnerKey, &Runner)> {
-        self.table.iter()
-    }
-
     /// Slots and attempts in use of the runners that fit a target.
     pub fn capacity(
         &self,
--- a/crates/wire/src/assemble.rs
+++ b/crates/wire/src/assemble.rs
@@ -41,11 +41,6 @@
         }
     }
 
-    /// Output tokens taken so far.
-    pub fn tokens(&self) -> u32 {
-        self.checker.tokens()
-    }
-
     /// Takes the next frame that arrived.
     pub fn take(&mut self, frame: Frame) -> Assembled {
         if frame.id != self.id || frame.seq < self.checker.count() {
