--- a/crates/core/src/daemon.rs
+++ b/crates/core/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use entry::Listeners;
 use settings::{Role, Settings};
+use telemetry::Sink;
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
@@ -19,8 +20,13 @@
     let name = match role {
         Role::Entry => settings.entry.listen.to_string(),
         Role::Agent => settings.agent.endpoint.clone(),
+        Role::Gateway => settings.process.instance.clone(),
     };
-    telemetry::init(&settings.log.level, &name).map_err(|err| {
+    let sink = match role {
+        Role::Entry | Role::Agent => Sink::Stderr,
+        Role::Gateway => Sink::Stdout,
+    };
+    telemetry::init(&settings.log.level, &name, sink).map_err(|err| {
         eprintln!("currantbank: {err}");
         Exit::Failed
     })?;
@@ -95,6 +101,39 @@
     LocalSet::new().block_on(&runtime, run)
 }
 
+/// Runs `currantbank gateway`.
+pub fn gateway(args: &DaemonArgs) -> Exit {
+    let settings = match prepare(Role::Gateway, args) {
+        Ok(settings) => settings,
+        Err(exit) => return exit,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built");
+    let file = args.config.clone();
+    let run = async {
+        let listeners = match gateway::Listeners::bind(&settings).await {
+            Ok(listeners) => listeners,
+            Err(err) => {
+                eprintln!(
+                    "currantbank: cannot listen ({err}); free the address or change it"
+                );
+                return Exit::Failed;
+            }
+        };
+        let reloads = reload_signal();
+        gateway::run(settings, file, listeners, stop_signal(), reloads).await;
+        Exit::Done
+    };
+    LocalSet::new().block_on(&runtime, run)
+}
+
+/// Signals that the settings file has changed.
+fn reload_signal() -> tokio::signal::unix::Signal {
+    signal(SignalKind::hangup()).expect("signals can be received")
+}
+
 /// Done when the process is told to stop.
 async fn stop_signal() {
     let mut terminate =
--- a/crates/core/src/flags/defs.rs
+++ b/crates/core/src/flags/defs.rs
@@ -48,7 +48,7 @@
         flag(
             "help",
             None,
-            &["entry", "agent", "check", "ctl"],
+            &["entry", "agent", "gateway", "check", "ctl"],
             "Print help; -h for the short form.",
             "Print help. -h prints one line a flag, --help prints all there is to say.",
         ),
@@ -58,7 +58,7 @@
         flag(
             "version",
             None,
-            &["entry", "agent", "check", "ctl"],
+            &["entry", "agent", "gateway", "check", "ctl"],
             "Print the version.",
             "Print the version and end.",
         ),
@@ -68,17 +68,17 @@
         flag(
             "config",
             Some("FILE"),
-            &["entry", "agent"],
+            &["entry", "agent", "gateway"],
             "Settings file, INI.",
-            "Settings file, INI. Every key has a default but the room, and the endpoint of an agent. All faults are told at once, with exit code 2.",
+            "Settings file, INI. Every key has a default but the room, and the endpoint of an agent. All faults are told at once, with exit code 2. A gateway without this flag takes the file that the environment variable CURRANTBANK_BOOT names.",
         ),
     ),
     flag(
         "role",
         Some("ROLE"),
         &["check"],
-        "Check as entry (default) or agent.",
-        "Which daemon the file is for: entry, the default, or agent. An agent also needs its endpoint's name.",
+        "Check as entry (default), agent or gateway.",
+        "Which daemon the file is for: entry, the default, agent or gateway. An agent also needs its endpoint's name.",
     ),
     flag(
         "keys",
--- a/crates/core/src/flags/help.rs
+++ b/crates/core/src/flags/help.rs
@@ -13,6 +13,7 @@
 const USAGE: &str = "\
 usage: currantbank entry --config FILE
        currantbank agent --config FILE
+       currantbank gateway [--config FILE]
        currantbank check [--role ROLE] FILE
        currantbank ctl [FLAGS] VERB ...
 ";
--- a/crates/core/src/flags/parse.rs
+++ b/crates/core/src/flags/parse.rs
@@ -18,6 +18,9 @@
 /// Least time of a roll-out's step, unless the flag says otherwise, ms.
 const STEP_MS: u64 = 600_000;
 
+/// Names a gateway's settings file where no flag does.
+const CONFIG_VARIABLE: &str = "CURRANTBANK_BOOT";
+
 /// Audit entries shown, unless the flag says otherwise.
 const AUDIT_LIMIT: u32 = 50;
 
@@ -26,7 +29,7 @@
 pub enum FlagError {
     /// {0}; see `currantbank --help`
     Lexer(lexopt::Error),
-    /// no command {0:?}; give entry, agent, check or ctl
+    /// no command {0:?}; give entry, agent, gateway, check or ctl
     Command(String),
     /// no verb {0:?}; see `currantbank ctl --help`
     Verb(String),
@@ -62,6 +65,8 @@
     Entry(DaemonArgs),
     /// Run an agent.
     Agent(DaemonArgs),
+    /// Run a gateway.
+    Gateway(DaemonArgs),
     /// Check a settings file.
     Check(CheckArgs),
     /// Call an entry as an operator.
@@ -238,6 +243,7 @@
     match command {
         "entry" => Ok(Command::Entry(daemon(given)?)),
         "agent" => Ok(Command::Agent(daemon(given)?)),
+        "gateway" => Ok(Command::Gateway(gateway(given)?)),
         "check" => check(given),
         "ctl" => ctl(given),
         other => Err(FlagError::Command(other.to_owned())),
@@ -253,10 +259,24 @@
     })
 }
 
+/// A gateway's settings may also be named by the environment, as platforms do
+/// that write the file themselves.
+fn gateway(given: &Given) -> Result<DaemonArgs, FlagError> {
+    if given.has("config") {
+        return daemon(given);
+    }
+    let config = std::env::var_os(CONFIG_VARIABLE);
+    let config = config.ok_or(FlagError::Missing("--config FILE"))?;
+    Ok(DaemonArgs {
+        config: config.into(),
+    })
+}
+
 fn check(given: &Given) -> Result<Command, FlagError> {
     let role = match given.last("role") {
         None | Some("entry") => Role::Entry,
         Some("agent") => Role::Agent,
+        Some("gateway") => Role::Gateway,
         Some(other) => {
             return Err(FlagError::Value(other.to_owned(), "role".to_owned()));
         }
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -19,6 +19,7 @@
         }
         Ok(Parsed::Run(Command::Entry(args))) => daemon::entry(&args),
         Ok(Parsed::Run(Command::Agent(args))) => daemon::agent(&args),
+        Ok(Parsed::Run(Command::Gateway(args))) => daemon::gateway(&args),
         Ok(Parsed::Run(Command::Check(args))) => check::run(&args),
         Ok(Parsed::Run(Command::Ctl(args))) => ctl::run(&args),
         Err(err) => {
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,346 @@
+//! From a caller's request to the answer that it gets.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use clock::Millis;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use route::{Ask, SizeChoice, Verdict, first_size, judge_size};
+
+use crate::{
+    attempt::{Answer, Extra, Failure, Kept, Running, attempt, last_moment},
+    body::Outgoing,
+    job::{Job, Refusal, read_job, request_id, strip_hop_by_hop},
+    record::RequestRecord,
+    relay::Relay,
+    state::Gateway,
+};
+
+/// Largest answer that is read whole before it is passed on, bytes.
+const WHOLE_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Time left below which an attempt is not worth its endpoint's work, ms.
+const ATTEMPT_MIN_MS: u64 = 20;
+
+/// Endpoints that may refuse a request, beyond its attempts that may run.
+const REFUSALS_MAX: u32 = 3;
+
+/// Time in which refused callers come back, spread evenly, s.
+const RETRY_AFTER_S: std::ops::Range<f64> = 0.3..1.2;
+
+/// Work of a model relative to the middle one, by its place among the sizes.
+const PACES: [f64; 3] = [0.3, 0.8, 3.0];
+
+/// Serves one request.
+pub(crate) async fn handle(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    started: Millis,
+) -> Response<Outgoing> {
+    let id = request_id(gateway, &request);
+    let shown = id.as_deref().unwrap_or("-");
+    let record = RequestRecord::new(gateway, shown, started);
+    let read = match id {
+        Ok(_) => read_job(gateway, request, started).await,
+        Err(refusal) => Err(refusal),
+    };
+    match read {
+        Ok(job) => Dispatch::new(gateway, job, record).run().await,
+        Err(refusal) => refuse(&record, refusal),
+    }
+}
+
+/// An answer of our own to a request that has not run and will not.
+fn refuse(record: &RequestRecord, refusal: Refusal) -> Response<Outgoing> {
+    record.ended(refusal.status.as_u16(), refusal.reason);
+    let mut response = own_answer(refusal.status);
+    let again = matches!(
+        refusal.status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    let headers = response.headers_mut();
+    if again {
+        let after_s = rand::rng().random_range(RETRY_AFTER_S);
+        if let Ok(value) = HeaderValue::from_str(&format!("{after_s:.2}")) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    // The rest of a body that was not read must not be taken for a request.
+    if refusal.status == StatusCode::PAYLOAD_TOO_LARGE {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn own_answer(status: StatusCode) -> Response<Outgoing> {
+    let mut response = Response::new(Outgoing::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// The attempts of one request.
+pub(crate) struct Dispatch {
+    pub gateway: Rc<Gateway>,
+    pub job: Job,
+    pub record: RequestRecord,
+    pub tried: Vec<String>,
+    /// Attempts that may have run.
+    pub attempts: u32,
+    refusals: u32,
+    sends: u32,
+    /// Whether some attempt may have run.
+    may_have_run: bool,
+    /// Place of the model among the route's sizes.
+    size: usize,
+}
+
+/// What an attempt came to.
+enum Step {
+    Done(Response<Outgoing>),
+    Again,
+}
+
+impl Dispatch {
+    fn new(gateway: &Rc<Gateway>, job: Job, record: RequestRecord) -> Self {
+        let team = job.team.as_ref().and_then(|team| team.to_str().ok());
+        record.routed(
+            &job.route().name,
+            team.unwrap_or("-"),
+            &job.service,
+            job.catalog.version,
+        );
+        let left_ms = job.left_ms(gateway.now());
+        let size = first_size(job.route().model_sizes.len(), left_ms, &gateway.sizes);
+        Dispatch {
+            gateway: gateway.clone(),
+            job,
+            record,
+            tried: Vec::new(),
+            attempts: 0,
+            refusals: 0,
+            sends: 0,
+            may_have_run: false,
+            size,
+        }
+    }
+
+    async fn run(mut self) -> Response<Outgoing> {
+        self.gateway.count_first(&self.job.service);
+        loop {
+            let Some(running) = self.next() else {
+                return self.give_up();
+            };
+            self.sends += 1;
+            let patience_ms = self.patience_ms();
+            let model = self.model().map(str::to_owned);
+            let id = running.pick.endpoint.id.clone();
+            self.record
+                .attempted(&id, model.as_deref().unwrap_or("-"));
+            let extra = Extra {
+                model: model.as_deref(),
+                last_event: None,
+            };
+            let sent = attempt(&self.gateway, &self.job, running, extra, patience_ms);
+            let failure = match sent.await {
+                Ok(answer) if self.job.repeat().is_stream() => {
+                    let status = answer.response.status();
+                    if status.is_success() {
+                        self.attempts += 1;
+                        match self.judge_size(&answer) {
+                            SizeChoice::Keep => return self.relay(answer),
+                            SizeChoice::Ask(size) => {
+                                self.record.attempt_failed("unsure");
+                                self.may_have_run = true;
+                                self.size = size;
+                                self.tried.clear();
+                                continue;
+                            }
+                        }
+                    }
+                    match self.whole(answer).await {
+                        Step::Done(response) => {
+                            self.record.ended(response.status().as_u16(), "endpoint_error");
+                            return response;
+                        }
+                        Step::Again => Failure::MayHaveRun("endpoint_error"),
+                    }
+                }
+                Ok(answer) => match self.whole(answer).await {
+                    Step::Done(response) => {
+                        let status = response.status();
+                        let outcome = if status.is_success() {
+                            "answered"
+                        } else {
+                            "endpoint_error"
+                        };
+                        self.record.ended(status.as_u16(), outcome);
+                        return response;
+                    }
+                    Step::Again => Failure::MayHaveRun("endpoint_error"),
+                },
+                Err(failure) => failure,
+            };
+            self.record.attempt_failed(failure.reason());
+            self.tried.push(id);
+            if failure.may_have_run() {
+                self.attempts += 1;
+                self.may_have_run = true;
+                if !self.job.repeat().may_repeat() {
+                    return self.give_up();
+                }
+            } else {
+                self.refusals += 1;
+            }
+        }
+    }
+
+    /// The next endpoint, or `None` if there is no use in another attempt.
+    fn next(&self) -> Option<Running> {
+        let now = self.gateway.now();
+        let route = self.job.route();
+        if self.job.left_ms(now) < ATTEMPT_MIN_MS
+            || self.attempts >= route.attempts_max
+            || self.refusals > REFUSALS_MAX
+        {
+            return None;
+        }
+        if self.sends > 0 && !self.gateway.take_retry(&self.job.service) {
+            return None;
+        }
+        self.place(None)
+    }
+
+    /// Picks an endpoint, of `version` where a stream has to stay on it.
+    pub fn place(&self, version: Option<&str>) -> Option<Running> {
+        let orders = self.gateway.orders.borrow();
+        let statuses = self.gateway.statuses.borrow();
+        let order = orders.get(&self.job.service);
+        let status = statuses.get(&self.job.service);
+        let versions = match version {
+            Some(version) => route::Versions::Only(version),
+            None => self.gateway.versions(order, status),
+        };
+        let ask = Ask {
+            service: &self.job.service,
+            domain: &self.gateway.settings.process.room,
+            model: self.model().unwrap_or(""),
+            pace: self.pace(),
+            parts: &self.job.parts,
+            tokens_in: self.job.prompt.tokens_in,
+            tried: &self.tried,
+            versions,
+        };
+        let pick = self.gateway.pool.borrow().pick(&ask, self.gateway.now())?;
+        Some(Running::new(&self.gateway, pick, &ask))
+    }
+
+    /// Model that the gateway names, if the choice is its.
+    pub fn model(&self) -> Option<&str> {
+        if !self.job.any_model {
+            return None;
+        }
+        let sizes = &self.job.route().model_sizes;
+        sizes.get(self.size).map(String::as_str)
+    }
+
+    fn pace(&self) -> f64 {
+        if !self.job.any_model {
+            return 1.0;
+        }
+        PACES[self.size.min(PACES.len() - 1)]
+    }
+
+    /// How long to wait for the head of an answer, ms.
+    fn patience_ms(&self) -> u64 {
+        let now = self.gateway.now();
+        let all_ms = last_moment(&self.job).since(now);
+        let route = self.job.route();
+        let more = self.attempts + 1 < route.attempts_max;
+        if !self.job.repeat().may_repeat() || !more {
+            return all_ms;
+        }
+        route.objective_ms.max(1).min(all_ms)
+    }
+
+    fn judge_size(&self, answer: &Answer) -> SizeChoice {
+        if !self.job.any_model {
+            return SizeChoice::Keep;
+        }
+        let route = self.job.route();
+        let confidence = answer.response.headers().get(&self.gateway.names.confidence);
+        let confidence = confidence.and_then(|value| value.to_str().ok());
+        let confidence = confidence.and_then(|value| value.trim().parse::<f64>().ok());
+        let confidence = confidence.map(|value| value.clamp(0.0, 100.0) as u8);
+        let left_ms = self.job.left_ms(self.gateway.now());
+        let more = self.attempts < route.attempts_max;
+        if !more {
+            return SizeChoice::Keep;
+        }
+        let sizes = route.model_sizes.len();
+        judge_size(self.size, sizes, confidence, left_ms, &self.gateway.sizes)
+    }
+
+    /// Reads an answer to its end, so that it can be replaced by another if it
+    /// breaks off.
+    async fn whole(&mut self, answer: Answer) -> Step {
+        let Answer {
+            response,
+            link,
+            mut running,
+        } = answer;
+        let (mut head, body) = response.into_parts();
+        let kept = Kept::of(&head.headers);
+        let left_ms = last_moment(&self.job).since(self.gateway.now());
+        let limit = Duration::from_millis(left_ms);
+        let reading = Limited::new(body, WHOLE_MAX_BYTES).collect();
+        let read = tokio::time::timeout(limit, reading).await;
+        let Ok(Ok(body)) = read else {
+            running.judge(Verdict::Failed, "answer_broken");
+            return Step::Again;
+        };
+        running.read();
+        Answer::release(&self.gateway, &running, link, kept);
+        let failed = head.status.is_server_error();
+        let verdict = if failed { Verdict::Failed } else { Verdict::Good };
+        running.judge(verdict, "error_status");
+        let route = self.job.route();
+        let again = failed
+            && self.job.repeat().may_repeat()
+            && self.attempts + 1 < route.attempts_max
+            && self.job.left_ms(self.gateway.now()) >= ATTEMPT_MIN_MS;
+        if again {
+            return Step::Again;
+        }
+        strip_hop_by_hop(&mut head.headers);
+        head.headers.remove(header::CONTENT_LENGTH);
+        Step::Done(Response::from_parts(head, Outgoing::whole(body.to_bytes())))
+    }
+
+    /// Passes a stream on as it comes.
+    fn relay(self, answer: Answer) -> Response<Outgoing> {
+        let Answer {
+            response,
+            link,
+            running,
+        } = answer;
+        let (mut head, body) = response.into_parts();
+        let kept = Kept::of(&head.headers);
+        strip_hop_by_hop(&mut head.headers);
+        head.headers.remove(header::CONTENT_LENGTH);
+        let relay = Relay::new(self, body, link, running, kept);
+        Response::from_parts(head, Outgoing::pieces(relay.into_pieces()))
+    }
+
+    fn give_up(self) -> Response<Outgoing> {
+        let late = self.job.left_ms(self.gateway.now()) < ATTEMPT_MIN_MS;
+        let (status, reason) = match (self.may_have_run, late) {
+            (false, _) => (StatusCode::SERVICE_UNAVAILABLE, "no_endpoint"),
+            (true, true) => (StatusCode::GATEWAY_TIMEOUT, "timeout"),
+            (true, false) => (StatusCode::BAD_GATEWAY, "endpoints_failed"),
+        };
+        refuse(&self.record, Refusal { status, reason })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/probe.rs
@@ -0,0 +1,59 @@
+//! Tells whether callers are welcome, and the metrics.
+
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use log::warn;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::state::Gateway;
+
+/// Pause after a connection could not be accepted, ms.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// Answers probes on `listener` for good.
+pub(crate) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_one(gateway.clone(), stream));
+            }
+            Err(err) => {
+                warn!("event=accept_failed listener=probe reason=\"{err}\"");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_one(gateway: Rc<Gateway>, stream: TcpStream) {
+    if let Err(err) = link::watch_peer(&stream) {
+        warn!("event=probe_failed reason=\"{err}\"");
+        return;
+    }
+    let answer = service_fn(move |request: Request<Incoming>| {
+        let response = answer(&gateway, request.uri().path());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    // A probe that breaks off is asked again.
+    let _ = http1::Builder::new()
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), answer)
+        .await;
+}
+
+fn answer(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
+    let (status, text) = match path {
+        platform::READY_PATH if gateway.is_ready() => (StatusCode::OK, String::new()),
+        platform::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        "/metrics" => (StatusCode::OK, gateway.stats.text()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/record.rs
@@ -0,0 +1,104 @@
+//! One log line for each decision on a request.
+
+use std::{cell::RefCell, rc::Rc};
+
+use clock::Millis;
+use log::{info, warn};
+
+use crate::state::Gateway;
+
+/// What became of a request, told once; a request that is dropped before it
+/// has ended was left by its caller.
+pub(crate) struct RequestRecord {
+    gateway: Rc<Gateway>,
+    started: Millis,
+    fields: RefCell<Fields>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Fields {
+    id: String,
+    route: String,
+    team: String,
+    service: String,
+    endpoint: String,
+    model: String,
+    attempts: u32,
+    config: u64,
+    ended: bool,
+}
+
+impl RequestRecord {
+    pub fn new(gateway: &Rc<Gateway>, id: &str, started: Millis) -> Self {
+        RequestRecord {
+            gateway: gateway.clone(),
+            started,
+            fields: RefCell::new(Fields {
+                id: id.to_owned(),
+                ..Fields::default()
+            }),
+        }
+    }
+
+    /// Notes where the request goes.
+    pub fn routed(&self, route: &str, team: &str, service: &str, config: u64) {
+        let mut fields = self.fields.borrow_mut();
+        fields.route = route.to_owned();
+        fields.team = team.to_owned();
+        fields.service = service.to_owned();
+        fields.config = config;
+    }
+
+    /// Notes an attempt.
+    pub fn attempted(&self, endpoint: &str, model: &str) {
+        let mut fields = self.fields.borrow_mut();
+        fields.endpoint = endpoint.to_owned();
+        fields.model = model.to_owned();
+        fields.attempts += 1;
+    }
+
+    /// Logs that an attempt did not end the request.
+    pub fn attempt_failed(&self, reason: &str) {
+        let fields = self.fields.borrow();
+        let ms = self.gateway.now().since(self.started);
+        self.gateway.stats.count("attempt_failed", reason);
+        info!(
+            "event=attempt_failed request={} endpoint={} model={} attempt={} reason={reason} ms={ms}",
+            fields.id, fields.endpoint, fields.model, fields.attempts
+        );
+    }
+
+    /// Logs the request's end.
+    pub fn ended(&self, status: u16, outcome: &str) {
+        let mut fields = self.fields.borrow_mut();
+        if std::mem::replace(&mut fields.ended, true) {
+            return;
+        }
+        let ms = self.gateway.now().since(self.started);
+        let stats = &self.gateway.stats;
+        stats.count("requests", outcome);
+        stats.time("request_ms", &fields.route, ms);
+        let line = format!(
+            "event=request request={} status={status} outcome={outcome} ms={ms} route={} team={} service={} endpoint={} model={} attempts={} config={}",
+            fields.id,
+            fields.route,
+            fields.team,
+            fields.service,
+            fields.endpoint,
+            fields.model,
+            fields.attempts,
+            fields.config,
+        );
+        if outcome == "answered" {
+            info!("{line}");
+        } else {
+            warn!("{line}");
+        }
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        self.ended(0, "caller_left");
+    }
+}
--- /dev/null
+++ b/crates/route/src/health.rs
@@ -0,0 +1,94 @@
+//! Passive health of one endpoint, from the outcomes of its requests.
+//!
+//! The load pattern it answers: an endpoint that is dark, or fails part of
+//! what it gets while its own health check is good.  Each attempt there costs
+//! a caller its objective, and the least busy endpoint is the one that answers
+//! nothing, so that it draws ever more requests until it is taken out.
+
+use clock::Millis;
+
+/// First time out, ms; it doubles with each further one.
+const OUT_MS: u64 = 500;
+
+/// Longest time out, ms.
+const OUT_MAX_MS: u64 = 4_000;
+
+/// Part of the failure rate that one outcome replaces.
+const OUTCOME_WEIGHT: f64 = 0.15;
+
+/// Failure rate at which an endpoint is taken out.
+const FAILING_RATE: f64 = 0.35;
+
+/// What a failure rate of one weighs in a comparison, ms.
+const FAILURE_MS: f64 = 400.0;
+
+/// Time over which a failure rate halves without outcomes, ms.
+const FORGET_MS: f64 = 4_000.0;
+
+/// How an attempt went, as far as its endpoint is to blame.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It answered.
+    Good,
+    /// It failed, answered with bytes that are no answer, or too slowly.
+    Failed,
+    /// It could not be reached at all.
+    Unreachable,
+    /// It is full, which says nothing against it but that it takes no more.
+    Full,
+}
+
+/// What is believed of one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    failure_rate: f64,
+    at: Millis,
+    out_until: Millis,
+    times_out: u32,
+}
+
+impl Health {
+    /// Takes an outcome; returns for how long the endpoint is out, if it is
+    /// taken out by it, ms.
+    pub fn take(&mut self, verdict: Verdict, now: Millis) -> Option<u64> {
+        self.failure_rate = self.rate(now);
+        self.at = now;
+        let failed = match verdict {
+            Verdict::Good => {
+                self.failure_rate *= 1.0 - OUTCOME_WEIGHT;
+                if now >= self.out_until {
+                    self.times_out = 0;
+                }
+                return None;
+            }
+            Verdict::Full => return None,
+            Verdict::Failed => OUTCOME_WEIGHT,
+            Verdict::Unreachable => 1.0,
+        };
+        self.failure_rate += (1.0 - self.failure_rate) * failed;
+        if self.failure_rate < FAILING_RATE || now < self.out_until {
+            return None;
+        }
+        let out_ms = (OUT_MS << self.times_out.min(8)).min(OUT_MAX_MS);
+        self.times_out += 1;
+        self.out_until = now.plus(out_ms);
+        // Back on trial: one more failure takes it out again at once.
+        self.failure_rate = FAILING_RATE * 0.9;
+        Some(out_ms)
+    }
+
+    /// Whether it takes requests.
+    pub fn is_in(&self, now: Millis) -> bool {
+        now >= self.out_until
+    }
+
+    /// What its failures weigh against a shorter wait elsewhere, ms.
+    pub fn handicap_ms(&self, now: Millis) -> f64 {
+        self.rate(now) * FAILURE_MS
+    }
+
+    fn rate(&self, now: Millis) -> f64 {
+        let quiet_ms = now.since(self.at) as f64;
+        self.failure_rate * (-quiet_ms / FORGET_MS).exp2()
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,21 +6,27 @@
 
 mod admission;
 mod cascade;
+mod health;
 mod objective;
+mod pool;
 mod retry;
 mod rollout;
 mod runners;
+mod size;
 mod ticket;
 mod version;
 
 pub use admission::{Admission, AdmissionError, Share};
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
+pub use health::{Health, Verdict};
 pub use objective::Weights;
+pub use pool::{Ask, Pick, Pool, Versions, digest_text, prompt_digests};
 pub use retry::RetryBudget;
 pub use rollout::{GateInput, GateSettings, GateVerdict, RolloutGate};
 pub use runners::{
     Balance, Locality, NoRunner, Outcome, PickSettings, Report, Runner, RunnerKey,
     Runners, Target,
 };
+pub use size::{SizeChoice, SizeSettings, first_size, judge_size};
 pub use ticket::{Ticket, TicketError, TicketKeys};
 pub use version::{Choice, RouteError, Session, Wanted, choose_version, parse_wanted};
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,385 @@
+//! Endpoints of the gateway: which one takes a request.
+//!
+//! The load pattern it answers: long prompts that share their beginnings, sent
+//! by many gateways at once.  A prompt's shared parts are read once by each
+//! engine that sees them, so that a subject that is spread over all engines
+//! costs several times its work; a subject kept on one engine queues there
+//! while others idle.  [`Pool::pick`] weighs the two in ms.  See
+//! `docs/design/deployment.md`.
+
+use std::collections::{BTreeMap, HashMap};
+
+use catalog::{Endpoint, EndpointState};
+use clock::Millis;
+
+use crate::health::{Health, Verdict};
+
+/// Prompt tokens that an engine reads in one ms.
+const PREFILL_TOKENS_PER_MS: f64 = 60.0;
+
+/// Delay that one more running request adds for a new one, ms.
+const RUNNING_MS: f64 = 6.0;
+
+/// Delay of a call to another failure domain, ms.
+const FAR_MS: f64 = 2.0;
+
+/// Time for which an engine is trusted to keep a part that it read.
+const CACHED_FOR_MS: u64 = 12_000;
+
+/// Most parts remembered for one endpoint.
+const PARTS_MAX: usize = 512;
+
+/// Time after the log's return for which a missing endpoint may still serve:
+/// those that live announce themselves again within it.
+const LAPSE_GRACE_MS: u64 = 2_000;
+
+/// What a request asks of an endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Ask<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Failure domain of the gateway.
+    pub domain: &'a str,
+    /// Model, as a salt of what is cached.
+    pub model: &'a str,
+    /// Work of the model relative to a middle one.
+    pub pace: f64,
+    /// Prompt parts, each as the digest of all parts up to it, and its length.
+    pub parts: &'a [(u64, u32)],
+    /// Tokens of the whole prompt.
+    pub tokens_in: u32,
+    /// Endpoints that were tried already.
+    pub tried: &'a [String],
+    /// Versions that may serve.
+    pub versions: Versions<'a>,
+}
+
+/// Which versions of a service may take a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Versions<'a> {
+    /// Any.
+    #[default]
+    Any,
+    /// Only this one.
+    Only(&'a str),
+    /// Any but this one.
+    Not(&'a str),
+}
+
+impl Versions<'_> {
+    /// Whether `version` may serve.
+    pub fn allows(self, version: &str) -> bool {
+        match self {
+            Versions::Any => true,
+            Versions::Only(only) => only == version,
+            Versions::Not(not) => not != version,
+        }
+    }
+}
+
+/// An endpoint that was picked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Pick {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Tokens of the prompt that it has to read.
+    pub uncached_tokens: u32,
+    /// Predicted wait before the first event, ms.
+    pub wait_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    endpoint: Endpoint,
+    count: u64,
+    health: Health,
+    /// Own requests under way.
+    running: u32,
+    /// Prompt tokens of own requests that have no first event yet.
+    reading_tokens: f64,
+    /// Requests of other gateways, as they said last.
+    elsewhere: u32,
+    parts: HashMap<u64, Millis>,
+    missing: bool,
+}
+
+/// Every endpoint that is known, in id order.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    rows: BTreeMap<String, Row>,
+    lapses_until: Option<Millis>,
+}
+
+impl Pool {
+    /// Takes an announcement; returns whether it says anything new.
+    ///
+    /// An older incarnation's late word changes nothing; a later one starts
+    /// without any of what was known of the earlier.
+    pub fn announce(&mut self, endpoint: Endpoint, count: u64) -> bool {
+        let Some(row) = self.rows.get_mut(&endpoint.id) else {
+            self.rows
+                .insert(endpoint.id.clone(), Row::new(endpoint, count));
+            return true;
+        };
+        if endpoint.born_ms < row.endpoint.born_ms {
+            return false;
+        }
+        let reborn = endpoint.born_ms > row.endpoint.born_ms;
+        let moved = endpoint.address != row.endpoint.address;
+        if reborn || moved {
+            let running = row.running;
+            *row = Row::new(endpoint, count);
+            row.running = running;
+            return true;
+        }
+        row.missing = false;
+        row.count = count;
+        let changed = row.endpoint != endpoint;
+        row.endpoint = endpoint;
+        changed
+    }
+
+    /// Takes that an endpoint is no longer listed.
+    pub fn withdraw(&mut self, id: &str, now: Millis) {
+        let lapsing = self.lapses_until.is_some_and(|until| now < until);
+        match self.rows.get_mut(id) {
+            Some(row) if lapsing => row.missing = true,
+            _ => {
+                self.rows.remove(id);
+            }
+        }
+    }
+
+    /// Takes that the list cannot be read: entries may lapse meanwhile.
+    pub fn list_lost(&mut self) {
+        self.lapses_until = Some(Millis(u64::MAX));
+    }
+
+    /// Takes that the list can be read again.
+    pub fn list_regained(&mut self, now: Millis) {
+        self.lapses_until = Some(now.plus(LAPSE_GRACE_MS));
+    }
+
+    /// Drops what stayed missing after the list came back; returns its ids.
+    pub fn expire(&mut self, now: Millis) -> Vec<String> {
+        let over = self.lapses_until.is_some_and(|until| now >= until);
+        if !over {
+            return Vec::new();
+        }
+        self.lapses_until = None;
+        let gone = self.rows.iter().filter(|(_, row)| row.missing);
+        let gone: Vec<String> = gone.map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.rows.remove(id);
+        }
+        gone
+    }
+
+    /// The endpoint `id`.
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.rows.get(id).map(|row| &row.endpoint)
+    }
+
+    /// Every endpoint of `service`.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let rows = self.rows.values();
+        let endpoints = rows.map(|row| &row.endpoint);
+        endpoints.filter(move |endpoint| endpoint.service == service)
+    }
+
+    /// How many endpoints are known.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Picks the endpoint with the least predicted wait.
+    pub fn pick(&self, ask: &Ask<'_>, now: Millis) -> Option<Pick> {
+        let fit = |row: &&Row| {
+            let endpoint = &row.endpoint;
+            endpoint.service == ask.service
+                && endpoint.state == EndpointState::Ready
+                && ask.versions.allows(&endpoint.version)
+                && !ask.tried.contains(&endpoint.id)
+        };
+        let fits: Vec<&Row> = self.rows.values().filter(fit).collect();
+        let healthy = fits.iter().filter(|row| row.health.is_in(now)).count();
+        // With fewer than half in, more is lost by crowding than by failures.
+        let all = healthy * 2 < fits.len();
+        fits.into_iter()
+            .filter(|row| all || row.health.is_in(now))
+            .map(|row| (row, row.uncached(ask, now)))
+            .map(|(row, uncached)| (row, uncached, row.wait_ms(ask, uncached, now)))
+            .min_by(|a, b| a.2.total_cmp(&b.2))
+            .map(|(row, uncached_tokens, wait_ms)| Pick {
+                endpoint: row.endpoint.clone(),
+                uncached_tokens,
+                wait_ms: wait_ms as u64,
+            })
+    }
+
+    /// Takes that a request was sent to `id`.
+    pub fn sent(&mut self, id: &str, ask: &Ask<'_>, uncached_tokens: u32, now: Millis) {
+        let Some(row) = self.rows.get_mut(id) else {
+            return;
+        };
+        row.running += 1;
+        row.reading_tokens += f64::from(uncached_tokens) * ask.pace;
+        if row.parts.len() >= PARTS_MAX {
+            row.parts
+                .retain(|_, used| now.since(*used) < CACHED_FOR_MS);
+        }
+        if row.parts.len() < PARTS_MAX {
+            let parts = ask.parts.iter();
+            let keyed = parts.map(|(digest, _)| (salted(*digest, ask.model), now));
+            row.parts.extend(keyed);
+        }
+    }
+
+    /// Takes that the first part of an answer came, or will not come.
+    pub fn read(&mut self, id: &str, uncached_tokens: u32, pace: f64) {
+        if let Some(row) = self.rows.get_mut(id) {
+            let read = f64::from(uncached_tokens) * pace;
+            row.reading_tokens = (row.reading_tokens - read).max(0.0);
+        }
+    }
+
+    /// Takes that a request at `id` ended, for the number under way.
+    pub fn ended(&mut self, id: &str) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.running = row.running.saturating_sub(1);
+        }
+    }
+
+    /// Takes how an attempt at `id` went; returns a change of belief.
+    pub fn judge(&mut self, id: &str, verdict: Verdict, now: Millis) -> Option<u64> {
+        let row = self.rows.get_mut(id)?;
+        row.health.take(verdict, now)
+    }
+
+    /// Own requests under way at each endpoint.
+    pub fn running(&self) -> impl Iterator<Item = (&str, u32)> {
+        let rows = self.rows.iter().filter(|(_, row)| row.running > 0);
+        rows.map(|(id, row)| (id.as_str(), row.running))
+    }
+
+    /// Takes the sum of what other gateways run at `id`.
+    pub fn set_elsewhere(&mut self, running: &HashMap<String, u32>) {
+        for (id, row) in &mut self.rows {
+            row.elsewhere = running.get(id).copied().unwrap_or(0);
+        }
+    }
+}
+
+impl Row {
+    fn new(endpoint: Endpoint, count: u64) -> Self {
+        Row {
+            endpoint,
+            count,
+            health: Health::default(),
+            running: 0,
+            reading_tokens: 0.0,
+            elsewhere: 0,
+            parts: HashMap::new(),
+            missing: false,
+        }
+    }
+
+    /// Tokens that it would have to read; a part counts as cached only if all
+    /// before it are.
+    fn uncached(&self, ask: &Ask<'_>, now: Millis) -> u32 {
+        let known = |digest: u64| {
+            let used = self.parts.get(&salted(digest, ask.model));
+            used.is_some_and(|used| now.since(*used) < CACHED_FOR_MS)
+        };
+        let parts = ask.parts.iter();
+        let cached: u32 = parts
+            .take_while(|(digest, _)| known(*digest))
+            .map(|(_, tokens)| tokens)
+            .sum();
+        ask.tokens_in.saturating_sub(cached)
+    }
+
+    fn wait_ms(&self, ask: &Ask<'_>, uncached: u32, now: Millis) -> f64 {
+        let reading = self.reading_tokens + f64::from(uncached) * ask.pace;
+        let running = f64::from(self.running + self.elsewhere);
+        let far = self.endpoint.domain != ask.domain;
+        let slots = f64::from(self.endpoint.slots.max(1));
+        let crowding = if ask.parts.is_empty() {
+            // A plain service queues behind its few slots.
+            running / slots * 20.0
+        } else {
+            running * RUNNING_MS
+        };
+        let mut wait = reading / PREFILL_TOKENS_PER_MS + crowding;
+        wait += if far { FAR_MS } else { 0.0 };
+        wait += self.health.handicap_ms(now);
+        wait += self.rank(ask) * self.home_ms(ask);
+        wait
+    }
+
+    /// Uniform in 0 to 1, the same at every gateway for a subject.
+    fn rank(&self, ask: &Ask<'_>) -> f64 {
+        let subject = subject(ask.parts).unwrap_or(0);
+        let id = self.endpoint.id.bytes().fold(subject, |digest, byte| {
+            mix(digest ^ u64::from(byte))
+        });
+        (salted(id, ask.model) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// What not being a subject's home weighs, ms: the reading of its shared
+    /// parts, which its home has most likely done for another gateway.
+    fn home_ms(&self, ask: &Ask<'_>) -> f64 {
+        let shared: u32 = shared_parts(ask.parts).iter().map(|(_, n)| n).sum();
+        f64::from(shared) * ask.pace / PREFILL_TOKENS_PER_MS
+    }
+}
+
+/// All parts but the last, which is the request's own.
+fn shared_parts(parts: &[(u64, u32)]) -> &[(u64, u32)] {
+    &parts[..parts.len().saturating_sub(1)]
+}
+
+fn subject(parts: &[(u64, u32)]) -> Option<u64> {
+    shared_parts(parts).last().map(|(digest, _)| *digest)
+}
+
+/// Digests of a prompt's parts, each over all parts up to it.
+pub fn prompt_digests<I>(parts: I) -> Vec<(u64, u32)>
+where
+    I: IntoIterator<Item = (u64, u32)>,
+{
+    let mut digest = 0;
+    let chained = parts.into_iter().map(|(id, tokens)| {
+        digest = mix(digest ^ id);
+        (digest, tokens)
+    });
+    chained.collect()
+}
+
+/// A digest of text that is the same in every process.
+pub fn digest_text(text: &str) -> u64 {
+    text.bytes()
+        .fold(0, |digest, byte| mix(digest ^ u64::from(byte)))
+}
+
+fn salted(digest: u64, model: &str) -> u64 {
+    model
+        .bytes()
+        .fold(digest, |digest, byte| mix(digest ^ u64::from(byte)))
+}
+
+/// The finalizer of splitmix64.
+fn mix(value: u64) -> u64 {
+    let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -421,6 +421,55 @@
         number(10, 60_000),
         "Age of a won claim beyond which its call is not started.",
     ),
+    key(
+        "gateway",
+        "listen",
+        "127.0.0.1:7500",
+        Kind::Address,
+        "Where callers connect.",
+    ),
+    key(
+        "gateway",
+        "ready_listen",
+        "127.0.0.1:7501",
+        Kind::Address,
+        "Where the balancer asks whether new callers are welcome.",
+    ),
+    key(
+        "gateway",
+        "metrics_listen",
+        "127.0.0.1:7502",
+        Kind::Address,
+        "Where counters and histograms are served as text, under /metrics.",
+    ),
+    key(
+        "gateway",
+        "peer_listen",
+        "127.0.0.1:7503",
+        Kind::Address,
+        "Where other gateways send datagrams and fetch the configuration.",
+    ),
+    key(
+        "gateway",
+        "retry_percent",
+        "60",
+        number(0, 1_000),
+        "Attempts after the first that a service may get, percent of first attempts.",
+    ),
+    key(
+        "gateway",
+        "expose_percent",
+        "10",
+        number(0, 100),
+        "Share of a service's requests that an unproved version may get.",
+    ),
+    key(
+        "gateway",
+        "session_ms",
+        "5000",
+        number(0, 3_600_000),
+        "Pause after which a session's next request may go to another version.",
+    ),
 ];
 
 /// The reference page of all keys, in Markdown.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -22,6 +22,6 @@
 pub use keys::{KEYS, KeyDef, Kind, reference};
 pub use secrets::{Operator, Secrets};
 pub use values::{
-    AgentSettings, EntrySettings, LogSettings, Objective, ProcessSettings, Role,
-    Settings, StoreOutage, StoreSettings,
+    AgentSettings, EntrySettings, GatewaySettings, LogSettings, Objective,
+    ProcessSettings, Role, Settings, StoreOutage, StoreSettings,
 };
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -15,6 +15,8 @@
     Entry,
     /// The process beside an endpoint.
     Agent,
+    /// The front that forwards callers' HTTP on the users' platform.
+    Gateway,
 }
 
 /// What the user weighs most.
@@ -164,6 +166,25 @@
     pub start_within_ms: u64,
 }
 
+/// Settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether new callers are welcome.
+    pub ready_listen: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_listen: SocketAddr,
+    /// Where other gateways connect and send datagrams.
+    pub peer_listen: SocketAddr,
+    /// Attempts after the first, percent of first attempts.
+    pub retry_percent: u32,
+    /// Share of requests that an unproved version may get, percent.
+    pub expose_percent: u32,
+    /// Pause after which a session may change its version, ms.
+    pub session_ms: u64,
+}
+
 /// All settings of a process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -177,6 +198,8 @@
     pub entry: EntrySettings,
     /// Of an agent.
     pub agent: AgentSettings,
+    /// Of a gateway.
+    pub gateway: GatewaySettings,
     /// Keys and digests from the secrets file.
     pub secrets: Secrets,
 }
@@ -218,7 +241,7 @@
 /// Checks what no single key shows.
 fn check_together(role: Role, raw: &Raw, faults: &mut Vec<Fault>) {
     let required = match role {
-        Role::Entry => vec![("process", "room")],
+        Role::Entry | Role::Gateway => vec![("process", "room")],
         Role::Agent => vec![("process", "room"), ("agent", "endpoint")],
     };
     for (section, key) in required {
@@ -271,6 +294,7 @@
         store: build_store(raw, log_address),
         entry: build_entry(raw),
         agent: build_agent(raw),
+        gateway: build_gateway(raw),
         secrets,
     }
 }
@@ -353,3 +377,20 @@
         start_within_ms: number("start_within_ms"),
     }
 }
+
+fn build_gateway(raw: &Raw) -> GatewaySettings {
+    let address = |key| {
+        raw.address("gateway", key)
+            .expect("checked, with a default")
+    };
+    let number = |key| raw.number("gateway", key);
+    GatewaySettings {
+        listen: address("listen"),
+        ready_listen: address("ready_listen"),
+        metrics_listen: address("metrics_listen"),
+        peer_listen: address("peer_listen"),
+        retry_percent: number("retry_percent") as u32,
+        expose_percent: number("expose_percent") as u32,
+        session_ms: number("session_ms"),
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -13,6 +13,11 @@
     Unavailable,
     /// the platform answered {0}, which is not expected here; check `store.address`
     Unexpected(String),
+    /// the topic does not end where the append expected but at {end}; read on and decide again
+    Conflict {
+        /// Offset at which it ends.
+        end: u64,
+    },
     /// records before {first} are gone; start from a snapshot
     Trimmed {
         /// First record that the log still holds.
--- /dev/null
+++ b/crates/store/src/keyed.rs
@@ -0,0 +1,246 @@
+//! Topics that keep the newest record of each key.
+//!
+//! [`KeyedLog`] is what a platform's log must offer, [`KeyedTable`] is the
+//! fold of one topic, and [`follow_keyed`] keeps a table current.  Nothing here
+//! depends on how a platform spells its calls.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use clock::{Clock, Millis};
+use log::{info, warn};
+
+use crate::StoreError;
+
+/// Pause after a failed call, ms; it doubles up to [`RETRY_MAX_MS`].
+const RETRY_MS: u64 = 100;
+
+/// Longest pause after failed calls, ms.
+const RETRY_MAX_MS: u64 = 500;
+
+/// One record of a keyed topic.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyedRecord {
+    /// Key.
+    pub key: String,
+    /// Value; `None` drops the key.
+    pub value: Option<Bytes>,
+    /// Offset in the topic.
+    pub offset: u64,
+}
+
+/// Records from an offset on.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct KeyedPage {
+    /// The records, in offset order.
+    pub records: Vec<KeyedRecord>,
+    /// Offset that the next append gets.
+    pub end: u64,
+    /// Offset from which to read on.
+    pub next: u64,
+}
+
+/// What a platform's keyed log offers.
+///
+/// One value makes one call at a time; followers have one each, so that a
+/// read that waits holds up no other.
+pub trait KeyedLog {
+    /// Reads from `from` on, waiting up to `wait_ms` for a first record.
+    fn read(
+        &mut self,
+        topic: &str,
+        from: u64,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<KeyedPage, StoreError>>;
+
+    /// Reads the newest record of every key.
+    fn newest(
+        &mut self,
+        topic: &str,
+    ) -> impl Future<Output = Result<KeyedPage, StoreError>>;
+
+    /// Appends one record if the topic still ends at `at`; returns the new end.
+    fn append(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+        at: u64,
+    ) -> impl Future<Output = Result<u64, StoreError>>;
+}
+
+/// The newest value of each key of a topic.
+#[derive(Clone, Debug, Default)]
+pub struct KeyedTable {
+    values: BTreeMap<String, (u64, Option<Bytes>)>,
+    end: u64,
+}
+
+/// What became of a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KeyedChange {
+    /// It has another value.
+    Put {
+        /// Key.
+        key: String,
+        /// Value.
+        value: Bytes,
+        /// Offset of the record.
+        offset: u64,
+    },
+    /// It was dropped.
+    Dropped {
+        /// Key.
+        key: String,
+    },
+}
+
+impl KeyedTable {
+    /// Offset up to which the table knows the topic.
+    pub fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Takes records in order; older ones than those known change nothing.
+    pub fn take(&mut self, page: &KeyedPage) -> Vec<KeyedChange> {
+        let mut changes = Vec::new();
+        for record in &page.records {
+            changes.extend(self.take_record(record));
+        }
+        self.end = self.end.max(page.next);
+        changes
+    }
+
+    /// Takes the newest record of every key, as of `page.end`.
+    ///
+    /// A list that ends before what is known is stale; its missing keys say
+    /// nothing, while its records are still older or newer by their offsets.
+    pub fn take_all(&mut self, page: &KeyedPage) -> Vec<KeyedChange> {
+        let mut changes = Vec::new();
+        if page.end >= self.end {
+            let listed = |key: &str| page.records.iter().any(|r| r.key == key);
+            let gone: Vec<String> = self
+                .values
+                .iter()
+                .filter(|(key, (offset, value))| {
+                    value.is_some() && *offset < page.end && !listed(key)
+                })
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in gone {
+                self.values.insert(key.clone(), (page.end, None));
+                changes.push(KeyedChange::Dropped { key });
+            }
+        }
+        for record in &page.records {
+            changes.extend(self.take_record(record));
+        }
+        self.end = self.end.max(page.end);
+        changes
+    }
+
+    fn take_record(&mut self, record: &KeyedRecord) -> Option<KeyedChange> {
+        let known = self.values.get(&record.key);
+        if known.is_some_and(|(offset, _)| *offset >= record.offset) {
+            return None;
+        }
+        let value = record.value.clone();
+        self.values
+            .insert(record.key.clone(), (record.offset, value.clone()));
+        let key = record.key.clone();
+        Some(match value {
+            Some(value) => KeyedChange::Put {
+                key,
+                value,
+                offset: record.offset,
+            },
+            None => KeyedChange::Dropped { key },
+        })
+    }
+}
+
+/// What a follower tells its owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KeyedNews {
+    /// Keys changed; `asked_at` is when the read began that brought them.
+    Changed {
+        /// The changes, in order.
+        changes: Vec<KeyedChange>,
+        /// Offset up to which the topic is known.
+        end: u64,
+    },
+    /// The log did not answer as expected; the last table holds on.
+    Lost {
+        /// Why.
+        reason: String,
+    },
+    /// The log answers again.
+    Regained {
+        /// How long it had not, ms.
+        away_ms: u64,
+    },
+}
+
+/// Keeps a table of `topic` current for as long as it is polled.
+///
+/// History that the log has dropped is made up for by a whole list.
+pub async fn follow_keyed<L, C, F>(
+    mut log: L,
+    topic: &str,
+    wait_ms: u64,
+    clock: &C,
+    mut tell: F,
+) where
+    L: KeyedLog,
+    C: Clock,
+    F: FnMut(KeyedNews),
+{
+    let mut table = KeyedTable::default();
+    let mut whole = true;
+    let mut lost_at: Option<Millis> = None;
+    let mut retry_ms = RETRY_MS;
+    loop {
+        let read = if whole {
+            log.newest(topic).await
+        } else {
+            log.read(topic, table.end(), wait_ms).await
+        };
+        match read {
+            Ok(page) => {
+                if let Some(at) = lost_at.take() {
+                    let away_ms = clock.now().since(at);
+                    info!("event=log_regained topic={topic} away_ms={away_ms}");
+                    tell(KeyedNews::Regained { away_ms });
+                }
+                retry_ms = RETRY_MS;
+                let changes = if whole {
+                    table.take_all(&page)
+                } else {
+                    table.take(&page)
+                };
+                // The list's pages are no snapshot: what came between is read.
+                whole = false;
+                let end = table.end();
+                tell(KeyedNews::Changed { changes, end });
+            }
+            Err(StoreError::Trimmed { first }) => {
+                info!(
+                    "event=log_trimmed topic={topic} needed={} first={first}",
+                    table.end()
+                );
+                whole = true;
+            }
+            Err(err) => {
+                if lost_at.is_none() {
+                    lost_at = Some(clock.now());
+                    warn!("event=log_lost topic={topic} reason=\"{err}\"");
+                    tell(KeyedNews::Lost {
+                        reason: err.to_string(),
+                    });
+                }
+                tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+                retry_ms = (retry_ms * 2).min(RETRY_MAX_MS);
+            }
+        }
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -11,10 +11,12 @@
 //! assert_eq!(line.to_string(), "event=dispatch request=r1 why=\"a b\"");
 //! ```
 
+mod bounded;
 mod event;
 mod logger;
 mod metrics;
 
+pub use bounded::BoundedLines;
 pub use event::Event;
-pub use logger::{LogError, init};
+pub use logger::{LogError, Sink, init};
 pub use metrics::{METRICS, MetricDef, Metrics, MetricsError};
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -3,6 +3,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use displaydoc::Display;
+
+use crate::BoundedLines;
 use log::LevelFilter;
 
 /// Why the logger could not be set up.
@@ -16,11 +18,20 @@
 
 impl std::error::Error for LogError {}
 
-/// Sends log lines of `level` and above to standard error.
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Sink {
+    /// Standard error, which may block.
+    Stderr,
+    /// Standard output, bounded and without ever blocking; see [`BoundedLines`].
+    Stdout,
+}
+
+/// Sends log lines of `level` and above to `sink`.
 ///
 /// Lines of the libraries below us are shown from `warn` on only, since theirs
 /// are not key=value.
-pub fn init(level: &str, instance: &str) -> Result<(), LogError> {
+pub fn init(level: &str, instance: &str, sink: Sink) -> Result<(), LogError> {
     let parsed: LevelFilter = level
         .parse()
         .map_err(|_| LogError::Level(level.to_owned()))?;
@@ -41,6 +52,15 @@
         .level_for("hyper", LevelFilter::Off)
         .level_for("hyper_util", LevelFilter::Off)
         .level_for("h2", LevelFilter::Off)
-        .chain(std::io::stderr());
+        .level_for("tracing", LevelFilter::Off);
+    let dispatch = match sink {
+        Sink::Stderr => dispatch.chain(std::io::stderr()),
+        Sink::Stdout => {
+            let lines = BoundedLines::on_stdout();
+            dispatch.chain(fern::Output::call(move |record| {
+                lines.write(&record.args().to_string());
+            }))
+        }
+    };
     dispatch.apply().map_err(|_| LogError::Twice)
 }
