--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -91,7 +91,9 @@
         let out_ms = self.gateway.pool.borrow_mut().judge(id, verdict, now);
         if let Some(out_ms) = out_ms {
             self.gateway.stats.count("endpoint_out", reason);
-            log::warn!("event=endpoint_out endpoint={id} reason={reason} out_ms={out_ms}");
+            log::warn!(
+                "event=endpoint_out endpoint={id} reason={reason} out_ms={out_ms}"
+            );
         }
     }
 }
@@ -137,10 +139,13 @@
     pub fn of(headers: &HeaderMap) -> Self {
         let connection = headers.get(header::CONNECTION);
         let connection = connection.and_then(|value| value.to_str().ok());
-        if connection.is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+        if connection.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
+        {
             return Kept::Closed;
         }
-        let stated = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+        let stated = headers
+            .get("keep-alive")
+            .and_then(|value| value.to_str().ok());
         let stated = stated.and_then(|value| {
             let mut items = value.split(',').map(str::trim);
             items.find_map(|item| item.strip_prefix("timeout=")?.trim().parse().ok())
@@ -255,7 +260,10 @@
     }
     if job.repeat().is_stream() {
         let priority = job.priority.min(PRIORITY_MAX);
-        headers.insert(names.priority.clone(), HeaderValue::from(u16::from(priority)));
+        headers.insert(
+            names.priority.clone(),
+            HeaderValue::from(u16::from(priority)),
+        );
     }
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.method.clone();
@@ -278,7 +286,8 @@
     let names = &gateway.names;
     let status = response.status();
     let headers = response.headers();
-    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST
+    {
         if status == StatusCode::MISDIRECTED_REQUEST {
             running.judge(Verdict::Unreachable, "other_endpoint");
             return Err(Failure::NotRun("other_endpoint"));
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -78,7 +78,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match &mut self.content {
-            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Content::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b))))
+            }
             Content::Pieces(pieces) => pieces
                 .as_mut()
                 .poll_next(cx)
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -137,8 +137,7 @@
             let patience_ms = self.patience_ms();
             let model = self.model().map(str::to_owned);
             let id = running.pick.endpoint.id.clone();
-            self.record
-                .attempted(&id, model.as_deref().unwrap_or("-"));
+            self.record.attempted(&id, model.as_deref().unwrap_or("-"));
             let extra = Extra {
                 model: model.as_deref(),
                 last_event: None,
@@ -162,7 +161,8 @@
                     }
                     match self.whole(answer).await {
                         Step::Done(response) => {
-                            self.record.ended(response.status().as_u16(), "endpoint_error");
+                            self.record
+                                .ended(response.status().as_u16(), "endpoint_error");
                             return response;
                         }
                         Step::Again => Failure::MayHaveRun("endpoint_error"),
@@ -270,7 +270,10 @@
             return SizeChoice::Keep;
         }
         let route = self.job.route();
-        let confidence = answer.response.headers().get(&self.gateway.names.confidence);
+        let confidence = answer
+            .response
+            .headers()
+            .get(&self.gateway.names.confidence);
         let confidence = confidence.and_then(|value| value.to_str().ok());
         let confidence = confidence.and_then(|value| value.trim().parse::<f64>().ok());
         let confidence = confidence.map(|value| value.clamp(0.0, 100.0) as u8);
@@ -304,7 +307,11 @@
         running.read();
         Answer::release(&self.gateway, &running, link, kept);
         let failed = head.status.is_server_error();
-        let verdict = if failed { Verdict::Failed } else { Verdict::Good };
+        let verdict = if failed {
+            Verdict::Failed
+        } else {
+            Verdict::Good
+        };
         running.judge(verdict, "error_status");
         let route = self.job.route();
         let again = failed
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,18 +14,32 @@
 /// Time between the systems' ticks over the tables, ms.
 const TICK_MS: u64 = 250;
 
+/// How long a read of the endpoints waits, in waits of the configuration.
+///
+/// A connection that went silent is noticed only when its read's time is over,
+/// so that the wait bounds how old a belief can be while the log is well.
+const ENDPOINT_WAITS: u64 = 2;
+
+/// How long a read of recorded roll-outs waits, in the same.
+const STATUS_WAITS: u64 = 5;
+
 /// Starts the followers and the tick.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
-    for topic in [OPERATOR_TOPIC, ENDPOINT_TOPIC, STATUS_TOPIC] {
-        tokio::task::spawn_local(follow(gateway.clone(), topic));
+    let wait_ms = gateway.settings.store.poll_wait_ms;
+    let topics = [
+        (OPERATOR_TOPIC, wait_ms),
+        (ENDPOINT_TOPIC, wait_ms * ENDPOINT_WAITS),
+        (STATUS_TOPIC, wait_ms * STATUS_WAITS),
+    ];
+    for (topic, wait_ms) in topics {
+        tokio::task::spawn_local(follow(gateway.clone(), topic, wait_ms));
     }
     tokio::task::spawn_local(tick(gateway.clone()));
 }
 
-async fn follow(gateway: Rc<Gateway>, topic: &'static str) {
+async fn follow(gateway: Rc<Gateway>, topic: &'static str, wait_ms: u64) {
     let settings = &gateway.settings.store;
     let client = LogClient::new(settings.address, settings.timeout_ms);
-    let wait_ms = settings.poll_wait_ms;
     let tell = |news| take_news(&gateway, topic, news);
     follow_keyed(client, topic, wait_ms, &gateway.clock, tell).await;
 }
--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -56,11 +56,6 @@
         }
     }
 
-    /// Closes all connections to an endpoint.
-    pub fn close(&mut self, address: SocketAddr) {
-        self.kept.remove(&address);
-    }
-
     /// Closes what has waited too long.
     pub fn expire(&mut self, now: Millis) {
         self.kept.retain(|_, kept| {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -131,7 +131,8 @@
     let wait_ms = wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let prompt = Prompt::of(&head.headers, names);
     let parts = prompt.parts.iter().map(|part| (part.id, part.tokens));
-    let any_model = !route.model_sizes.is_empty() && text(&names.model) == Some(names.any_model);
+    let any_model =
+        !route.model_sizes.is_empty() && text(&names.model) == Some(names.any_model);
     let session = text(&names.session).map(digest_text);
     let id = head.headers.get(&names.request_id).cloned().ok_or(BAD_ID)?;
     let draw = session.unwrap_or_else(|| digest_text(id.to_str().unwrap_or_default()));
@@ -166,7 +167,10 @@
 
 fn route_index(catalog: &Catalog, host: &str, path: &str) -> Option<usize> {
     let found = catalog.route(host, path)?;
-    catalog.routes.iter().position(|route| std::ptr::eq(route, found))
+    catalog
+        .routes
+        .iter()
+        .position(|route| std::ptr::eq(route, found))
 }
 
 fn head_bytes(head: &http::request::Parts) -> usize {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -185,7 +185,8 @@
                 model: model.as_deref(),
                 last_event: self.cutter.last_id(),
             };
-            let sent = attempt(&dispatch.gateway, &dispatch.job, running, extra, left_ms);
+            let sent =
+                attempt(&dispatch.gateway, &dispatch.job, running, extra, left_ms);
             match sent.await {
                 Ok(answer) if answer.response.status() == StatusCode::OK => {
                     info!("event=stream_resumed endpoint={id} reason={reason}");
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -4,7 +4,7 @@
     cell::Cell,
     convert::Infallible,
     io,
-    pin::Pin,
+    pin::{Pin, pin},
     rc::Rc,
     task::{Context, Poll},
     time::Duration,
@@ -32,8 +32,12 @@
 /// Time after the start of a stop in which idle callers may still send, ms.
 const IDLE_STOP_MS: u64 = 1_500;
 
-/// Least time between the start of a stop and the end, ms: the balancer
-/// notices only at its second question that no more callers are welcome.
+/// Time after the start of a stop in which new callers are still taken, ms:
+/// the balancer notices only at its second question that none are welcome.
+/// What comes later could not be finished before the process is killed.
+const ACCEPT_STOP_MS: u64 = 2_500;
+
+/// Least time between the start of a stop and the end, ms.
 const STOP_MIN_MS: u64 = 3_500;
 
 /// Time between looks at whether all work has ended, ms.
@@ -145,7 +149,10 @@
         self.stream.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -157,10 +164,16 @@
     }
 }
 
-/// Takes callers' connections for good.
+/// Takes callers' connections until some time into a stop.
 pub(crate) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    // One future for all turns: it must not start over with each caller.
+    let mut ends = pin!(accepting_ends(&gateway));
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut ends => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(serve_one(gateway.clone(), stream));
             }
@@ -172,6 +185,11 @@
     }
 }
 
+async fn accepting_ends(gateway: &Gateway) {
+    gateway.stopping.notified().await;
+    tokio::time::sleep(Duration::from_millis(ACCEPT_STOP_MS)).await;
+}
+
 /// What a look at a connection says is to be done.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Look {
@@ -185,7 +203,11 @@
     let now = caller.gateway.now();
     let stopping = caller.gateway.draining_since();
     if caller.busy.get() {
-        return if stopping.is_some() { Look::Stop } else { Look::Keep };
+        return if stopping.is_some() {
+            Look::Stop
+        } else {
+            Look::Keep
+        };
     }
     if let Some(since) = caller.head_since.get() {
         let late = now.since(since) > limits.head_timeout_ms;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use platform::Vocabulary;
 use route::{Pool, RetryBudget, SizeSettings, Versions};
 use settings::Settings;
+use tokio::sync::Notify;
 
 use crate::{idle::IdleLinks, stats::Stats};
 
@@ -29,6 +30,8 @@
     pub orders: RefCell<HashMap<String, RolloutOrder>>,
     /// Recorded status by service.
     pub statuses: RefCell<HashMap<String, RolloutStatus>>,
+    /// Told once when a stop begins.
+    pub stopping: Notify,
     catalog: RefCell<Option<Rc<Catalog>>>,
     budgets: RefCell<HashMap<String, RetryBudget>>,
     draining_since: Cell<Option<Millis>>,
@@ -46,6 +49,7 @@
             stats: Stats::default(),
             orders: RefCell::default(),
             statuses: RefCell::default(),
+            stopping: Notify::new(),
             catalog: RefCell::default(),
             budgets: RefCell::default(),
             draining_since: Cell::default(),
@@ -127,6 +131,7 @@
 
     pub fn start_draining(&self) {
         self.draining_since.set(Some(self.now()));
+        self.stopping.notify_one();
     }
 
     /// Since when no new work is to come.
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -73,10 +73,11 @@
     /// Opens a connection within `timeout_ms`.
     pub async fn open(peer: SocketAddr, timeout_ms: u64) -> Result<Self, LinkError> {
         let connecting = TcpStream::connect(peer);
-        let stream = tokio::time::timeout(Duration::from_millis(timeout_ms), connecting)
-            .await
-            .map_err(|_| LinkError::ConnectTimeout(timeout_ms))?
-            .map_err(LinkError::Connect)?;
+        let stream =
+            tokio::time::timeout(Duration::from_millis(timeout_ms), connecting)
+                .await
+                .map_err(|_| LinkError::ConnectTimeout(timeout_ms))?
+                .map_err(LinkError::Connect)?;
         watch_peer(&stream).map_err(LinkError::Connect)?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -233,8 +233,7 @@
         row.running += 1;
         row.reading_tokens += f64::from(uncached_tokens) * ask.pace;
         if row.parts.len() >= PARTS_MAX {
-            row.parts
-                .retain(|_, used| now.since(*used) < CACHED_FOR_MS);
+            row.parts.retain(|_, used| now.since(*used) < CACHED_FOR_MS);
         }
         if row.parts.len() < PARTS_MAX {
             let parts = ask.parts.iter();
@@ -328,9 +327,11 @@
     /// Uniform in 0 to 1, the same at every gateway for a subject.
     fn rank(&self, ask: &Ask<'_>) -> f64 {
         let subject = subject(ask.parts).unwrap_or(0);
-        let id = self.endpoint.id.bytes().fold(subject, |digest, byte| {
-            mix(digest ^ u64::from(byte))
-        });
+        let id = self
+            .endpoint
+            .id
+            .bytes()
+            .fold(subject, |digest, byte| mix(digest ^ u64::from(byte)));
         (salted(id, ask.model) >> 11) as f64 / (1u64 << 53) as f64
     }
 
--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -68,7 +68,10 @@
         state.tokens -= 1.0;
         let mut text = String::with_capacity(line.len() + 1);
         if state.dropped > 0 {
-            text.push_str(&format!("event=log_lines_dropped count={}\n", state.dropped));
+            text.push_str(&format!(
+                "event=log_lines_dropped count={}\n",
+                state.dropped
+            ));
         }
         let room = LINE_MAX_BYTES - text.len() - 1;
         text.push_str(&line[..line.floor_char_boundary(room)]);
