--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,10 @@
 //! One attempt: a request to one endpoint, and the head of its answer.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    pin::{Pin, pin},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use clock::Millis;
@@ -84,6 +88,20 @@
         }
     }
 
+    /// Takes that the endpoint gave a sign of life.
+    pub fn heard(&self) {
+        let now = self.gateway.now();
+        let mut pool = self.gateway.pool.borrow_mut();
+        pool.heard(&self.pick.endpoint.id, now);
+    }
+
+    /// When the endpoint last gave a sign of life.
+    fn last_heard(&self) -> Millis {
+        let pool = self.gateway.pool.borrow();
+        let heard = pool.last_heard(&self.pick.endpoint.id);
+        heard.unwrap_or_default()
+    }
+
     /// Takes how the attempt went.
     pub fn judge(&self, verdict: Verdict, reason: &str) {
         let now = self.gateway.now();
@@ -154,7 +172,11 @@
     }
 }
 
-/// Sends the request and waits up to `patience_ms` for the answer's head.
+/// Sends the request and waits for the answer's head.
+///
+/// An endpoint that has given no sign of life, on any request, for
+/// `patience_ms` is given up.  One that answers others has this request in its
+/// queue, where it would only lose its place by going elsewhere.
 pub(crate) async fn attempt(
     gateway: &Rc<Gateway>,
     job: &Job,
@@ -162,15 +184,19 @@
     extra: Extra<'_>,
     patience_ms: u64,
 ) -> Result<Answer, Failure> {
-    let limit = Duration::from_millis(patience_ms);
-    let sending = send(gateway, job, &running, extra);
-    let sent = match tokio::time::timeout(limit, sending).await {
-        Ok(sent) => sent,
-        Err(_) => {
-            running.judge(Verdict::Failed, "silent");
-            return Err(Failure::MayHaveRun("silent"));
+    let sent = {
+        let sending = pin!(send(gateway, job, &running, extra));
+        match answer_in_time(gateway, job, &running, sending, patience_ms).await {
+            Some(sent) => sent,
+            None => {
+                running.judge(Verdict::Failed, "silent");
+                return Err(Failure::MayHaveRun("silent"));
+            }
         }
     };
+    if !matches!(sent, Err(Failure::Unsent(_))) {
+        running.heard();
+    }
     let (response, link) = sent.inspect_err(|failure| {
         let verdict = match failure {
             Failure::Unsent(_) => Verdict::Unreachable,
@@ -187,6 +213,34 @@
     })
 }
 
+/// The answer, or `None` once its endpoint is given up.
+async fn answer_in_time<F>(
+    gateway: &Gateway,
+    job: &Job,
+    running: &Running,
+    mut sending: Pin<&mut F>,
+    patience_ms: u64,
+) -> Option<F::Output>
+where
+    F: Future,
+{
+    let mut since = gateway.now();
+    let last = last_moment(job);
+    loop {
+        let until = since.plus(patience_ms).min(last);
+        let wait_ms = until.since(gateway.now());
+        let limit = Duration::from_millis(wait_ms);
+        if let Ok(sent) = tokio::time::timeout(limit, sending.as_mut()).await {
+            return Some(sent);
+        }
+        let heard = running.last_heard();
+        if until >= last || !job.repeat().is_stream() || heard <= since {
+            return None;
+        }
+        since = heard;
+    }
+}
+
 async fn send(
     gateway: &Gateway,
     job: &Job,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use route::{Ask, SizeChoice, Verdict, first_size, judge_size};
+use route::{Ask, SizeChoice, Verdict, digest_text, first_size, judge_size};
 
 use crate::{
     attempt::{Answer, Extra, Failure, Kept, Running, attempt, last_moment},
@@ -17,6 +17,7 @@
     record::RequestRecord,
     relay::Relay,
     state::Gateway,
+    upgrades::{Quality, Track},
 };
 
 /// Largest answer that is read whole before it is passed on, bytes.
@@ -95,6 +96,23 @@
     may_have_run: bool,
     /// Place of the model among the route's sizes.
     size: usize,
+    /// Where it goes by the roll-out of its service.
+    track: Track,
+    /// Version that it ran on last.
+    version: Option<String>,
+}
+
+impl Drop for Dispatch {
+    /// A session keeps its version for some time from its request's end on.
+    fn drop(&mut self) {
+        if let (Some(session), Some(version)) = (self.job.session, &self.version) {
+            self.gateway.note_session(session, version);
+        }
+    }
+}
+
+fn shown_id(id: &HeaderValue) -> &str {
+    id.to_str().unwrap_or_default()
 }
 
 /// What an attempt came to.
@@ -114,6 +132,10 @@
         );
         let left_ms = job.left_ms(gateway.now());
         let size = first_size(job.route().model_sizes.len(), left_ms, &gateway.sizes);
+        let draw = job
+            .session
+            .unwrap_or_else(|| digest_text(shown_id(&job.id)));
+        let track = gateway.track(&job.service, job.session, draw);
         Dispatch {
             gateway: gateway.clone(),
             job,
@@ -124,6 +146,8 @@
             sends: 0,
             may_have_run: false,
             size,
+            track,
+            version: None,
         }
     }
 
@@ -134,6 +158,9 @@
                 return self.give_up();
             };
             self.sends += 1;
+            let sent_at = self.gateway.now();
+            let version = running.pick.endpoint.version.clone();
+            let pick = running.pick.clone();
             let patience_ms = self.patience_ms();
             let model = self.model().map(str::to_owned);
             let id = running.pick.endpoint.id.clone();
@@ -143,7 +170,23 @@
                 last_event: None,
             };
             let sent = attempt(&self.gateway, &self.job, running, extra, patience_ms);
-            let failure = match sent.await {
+            let sent = sent.await;
+            if sent.is_ok() {
+                self.on_version(&version);
+            }
+            let head_ms = self.gateway.now().since(sent_at);
+            self.see(&version, &sent, head_ms);
+            log::debug!(
+                "event=attempt_head request={} endpoint={id} model={} uncached={} running={} elsewhere={} predicted_ms={} head_ms={head_ms} good={}",
+                shown_id(&self.job.id),
+                self.size,
+                pick.uncached_tokens,
+                pick.running,
+                pick.elsewhere,
+                pick.wait_ms,
+                sent.is_ok()
+            );
+            let failure = match sent {
                 Ok(answer) if self.job.repeat().is_stream() => {
                     let status = answer.response.status();
                     if status.is_success() {
@@ -197,6 +240,29 @@
         }
     }
 
+    /// Notes the version that the request, and so its session, is on.
+    fn on_version(&mut self, version: &str) {
+        self.version = Some(version.to_owned());
+        if let Some(session) = self.job.session {
+            self.gateway.note_session(session, version);
+        }
+    }
+
+    /// Counts an answer's head, or a failure, for its version.
+    fn see(&self, version: &str, sent: &Result<Answer, Failure>, head_ms: u64) {
+        let quality = match sent {
+            Ok(answer) if answer.response.status().is_server_error() => Quality::Bad,
+            Ok(_) => {
+                let model = self.model().unwrap_or("");
+                let usual = &self.gateway.usual;
+                usual.judge(&self.job.route().name, model, head_ms)
+            }
+            Err(Failure::MayHaveRun(_)) => Quality::Bad,
+            Err(_) => return,
+        };
+        self.gateway.see_answer(&self.job, version, quality);
+    }
+
     /// The next endpoint, or `None` if there is no use in another attempt.
     fn next(&self) -> Option<Running> {
         let now = self.gateway.now();
@@ -215,13 +281,9 @@
 
     /// Picks an endpoint, of `version` where a stream has to stay on it.
     pub fn place(&self, version: Option<&str>) -> Option<Running> {
-        let orders = self.gateway.orders.borrow();
-        let statuses = self.gateway.statuses.borrow();
-        let order = orders.get(&self.job.service);
-        let status = statuses.get(&self.job.service);
         let versions = match version {
             Some(version) => route::Versions::Only(version),
-            None => self.gateway.versions(order, status),
+            None => self.track.versions(),
         };
         let ask = Ask {
             service: &self.job.service,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -58,9 +58,16 @@
 
 fn take_news(gateway: &Gateway, topic: &str, news: KeyedNews) {
     match news {
-        KeyedNews::Changed { changes, .. } => {
+        KeyedNews::Changed {
+            changes,
+            end,
+            fresh,
+        } => {
             for change in changes {
-                take_change(gateway, topic, change);
+                take_change(gateway, topic, change, fresh);
+            }
+            if topic == STATUS_TOPIC {
+                gateway.status_end.set(end);
             }
         }
         KeyedNews::Lost { .. } if topic == ENDPOINT_TOPIC => {
@@ -73,7 +80,7 @@
     }
 }
 
-fn take_change(gateway: &Gateway, topic: &str, change: KeyedChange) {
+fn take_change(gateway: &Gateway, topic: &str, change: KeyedChange, fresh: bool) {
     match (topic, change) {
         (ENDPOINT_TOPIC, KeyedChange::Put { key, value, .. }) => {
             take_endpoint(gateway, &key, &value);
@@ -83,7 +90,7 @@
             gateway.pool.borrow_mut().withdraw(&key, gateway.now());
         }
         (OPERATOR_TOPIC, KeyedChange::Put { key, value, offset }) => {
-            take_operator_record(gateway, &key, &value, offset);
+            take_operator_record(gateway, &key, &value, offset, fresh);
         }
         (STATUS_TOPIC, KeyedChange::Put { key, value, .. }) => {
             take_status(gateway, &key, &value);
@@ -120,7 +127,13 @@
     }
 }
 
-fn take_operator_record(gateway: &Gateway, key: &str, bytes: &[u8], offset: u64) {
+fn take_operator_record(
+    gateway: &Gateway,
+    key: &str,
+    bytes: &[u8],
+    offset: u64,
+    fresh: bool,
+) {
     if key == CATALOG_KEY {
         match platform::decode_catalog(bytes) {
             Ok(catalog) => gateway.install(catalog, "log"),
@@ -134,12 +147,7 @@
     }
     match platform::decode_order(bytes, offset) {
         Ok(order) => {
-            info!(
-                "event=rollout_ordered service={} target={} within_ms={} offset={offset}",
-                order.service, order.target, order.within_ms
-            );
-            let service = order.service.clone();
-            gateway.orders.borrow_mut().insert(service, order);
+            gateway.take_order(order, fresh);
         }
         Err(err) => warn!("event=rollout_skipped offset={offset} reason=\"{err}\""),
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -64,8 +64,6 @@
     pub service: String,
     pub team: Option<HeaderValue>,
     pub priority: u8,
-    /// First byte of the request.
-    pub started: Millis,
     /// When the caller, or the operator for it, stops waiting.
     pub deadline: Millis,
     pub parts: Vec<(u64, u32)>,
@@ -156,7 +154,6 @@
         service,
         team,
         priority,
-        started,
         deadline: started.plus(wait_ms),
         prompt,
         any_model,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,18 +11,24 @@
 mod follow;
 mod idle;
 mod job;
+mod peers;
 mod probe;
 mod record;
 mod relay;
 mod server;
 mod state;
 mod stats;
+mod upgrades;
+mod usual;
 
 use std::{io, path::PathBuf, rc::Rc};
 
 use log::info;
 use settings::{Role, Settings};
-use tokio::{net::TcpListener, signal::unix::Signal};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::Signal,
+};
 
 use state::Gateway;
 
@@ -35,6 +41,8 @@
     pub ready: TcpListener,
     /// For metrics.
     pub metrics: TcpListener,
+    /// For other gateways' datagrams.
+    pub words: UdpSocket,
 }
 
 impl Listeners {
@@ -45,6 +53,7 @@
             callers: TcpListener::bind(gateway.listen).await?,
             ready: TcpListener::bind(gateway.ready_listen).await?,
             metrics: TcpListener::bind(gateway.metrics_listen).await?,
+            words: UdpSocket::bind(gateway.peer_listen).await?,
         })
     }
 }
@@ -72,6 +81,8 @@
         tokio::task::spawn_local(probe::serve(gateway.clone(), listener));
     }
     tokio::task::spawn_local(server::serve(gateway.clone(), listeners.callers));
+    tokio::task::spawn_local(peers::talk(gateway.clone(), listeners.words));
+    tokio::task::spawn_local(upgrades::look_after(gateway.clone()));
     tokio::task::spawn_local(reload(file, reloads));
     stop.await;
     gateway.start_draining();
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,313 @@
+//! What gateways tell each other, by datagrams.
+//!
+//! Each datagram holds all that its sender has to say, so that a lost one is
+//! made up for by the next.  Nothing in it is trusted beyond its bounds: it
+//! changes predictions, halts a roll-out, or makes this gateway ask for a
+//! newer configuration, and never what a request may do.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use clock::Millis;
+use log::{info, warn};
+use rand::seq::IteratorRandom;
+use route::Evidence;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::state::Gateway;
+
+/// Time between words to the peers, ms.
+const WORD_EVERY_MS: u64 = 200;
+
+/// Age up to which a peer's word counts, ms.
+pub(crate) const FRESH_MS: u64 = 1_000;
+
+/// Silence after which a peer is forgotten unless the settings name it, ms.
+const FORGET_MS: u64 = 20_000;
+
+/// Peers that get each word; with more, a drawn few get each.
+const FANOUT_MAX: usize = 8;
+
+/// Peers that are remembered.
+const PEERS_MAX: usize = 64;
+
+/// Largest datagram, bytes: one Ethernet frame.
+const WORD_MAX_BYTES: usize = 1_400;
+
+/// Endpoints that one word tells of.
+const RUNNING_MAX: usize = 48;
+
+/// Peers that one word tells of.
+const TOLD_PEERS_MAX: usize = 16;
+
+/// Roll-outs that one word tells of.
+const UPGRADES_MAX: usize = 2;
+
+/// Routes that one roll-out's evidence is told of.
+pub(crate) const ROUTES_MAX: usize = 8;
+
+/// Most that one peer may claim of a count, so that a stray datagram cannot
+/// drown what others say.
+const COUNT_MAX: u64 = 100_000;
+
+/// What a gateway says of a roll-out.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct UpgradeWord {
+    /// Offset of the order, which names it.
+    pub offset: u64,
+    /// Time since the order, ms.
+    pub elapsed_ms: Option<u64>,
+    /// What it has seen itself, by the digest of the route.
+    pub evidence: Vec<(u64, Evidence)>,
+    /// Whether it found the version bad.
+    pub halted: bool,
+    /// Whether it sends everything to the new version.
+    pub moved: bool,
+    /// Its requests under way on other versions.
+    pub old_running: u32,
+}
+
+/// One datagram.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Word {
+    /// Start of the sender, ms since 1970: tells incarnations apart.
+    pub born_ms: u64,
+    /// Counts the sender's words.
+    pub count: u64,
+    /// Version of its configuration; zero for none.
+    pub catalog_version: u64,
+    /// Digests of endpoints, its requests there, and the tokens that these
+    /// still have to read.
+    pub running: Vec<(u64, u32, u32)>,
+    /// Roll-outs under way.
+    pub upgrades: Vec<UpgradeWord>,
+    /// Peers that it hears.
+    pub peers: Vec<SocketAddr>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    named: bool,
+    heard: Option<Millis>,
+    word: Word,
+}
+
+/// Every peer that is known, in address order.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    own: Option<SocketAddr>,
+    rows: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// The peers that the settings name; of these only the addresses count.
+    pub fn new(own: SocketAddr, named: &[SocketAddr]) -> Self {
+        let mut peers = Peers {
+            own: Some(own),
+            rows: BTreeMap::new(),
+        };
+        for address in named {
+            peers.add(*address, true);
+        }
+        peers
+    }
+
+    fn add(&mut self, address: SocketAddr, named: bool) {
+        let is_own = self.own == Some(address);
+        let fits = named || self.rows.len() < PEERS_MAX;
+        if is_own || !fits || self.rows.contains_key(&address) {
+            return;
+        }
+        let peer = Peer {
+            named,
+            heard: None,
+            word: Word::default(),
+        };
+        self.rows.insert(address, peer);
+    }
+
+    /// Takes a word; returns whether its sender was not heard before or for
+    /// long.
+    pub fn take(&mut self, from: SocketAddr, word: Word, now: Millis) -> bool {
+        self.add(from, false);
+        for address in word.peers.iter().take(TOLD_PEERS_MAX) {
+            // All gateways listen on the same port.
+            if address.port() == from.port() {
+                self.add(*address, false);
+            }
+        }
+        let Some(peer) = self.rows.get_mut(&from) else {
+            return false;
+        };
+        let held = (peer.word.born_ms, peer.word.count);
+        if (word.born_ms, word.count) <= held {
+            return false;
+        }
+        let was_fresh = peer.heard.is_some_and(|at| now.since(at) <= FRESH_MS);
+        peer.word = word;
+        peer.heard = Some(now);
+        !was_fresh
+    }
+
+    /// Forgets who is silent for long; returns who has just become silent.
+    pub fn expire(&mut self, now: Millis) -> Vec<SocketAddr> {
+        self.rows.retain(|_, peer| {
+            peer.named || peer.heard.is_some_and(|at| now.since(at) < FORGET_MS)
+        });
+        let silent = self.rows.iter().filter(|(_, peer)| {
+            peer.heard.is_some_and(|at| {
+                let age_ms = now.since(at);
+                age_ms > FRESH_MS && age_ms <= FRESH_MS + WORD_EVERY_MS
+            })
+        });
+        silent.map(|(address, _)| *address).collect()
+    }
+
+    /// Words that count, with who said them.
+    pub fn fresh(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, &Word)> {
+        self.rows.iter().filter_map(move |(address, peer)| {
+            let heard = peer.heard?;
+            (now.since(heard) <= FRESH_MS).then_some((*address, &peer.word))
+        })
+    }
+
+    /// The last words of all peers that were heard within `age_ms`.
+    pub fn heard_within(
+        &self,
+        age_ms: u64,
+        now: Millis,
+    ) -> impl Iterator<Item = &Word> {
+        self.rows.values().filter_map(move |peer| {
+            let heard = peer.heard?;
+            (now.since(heard) <= age_ms).then_some(&peer.word)
+        })
+    }
+
+    /// Whether any peer was ever heard.
+    pub fn any_heard(&self) -> bool {
+        self.rows.values().any(|peer| peer.heard.is_some())
+    }
+
+    /// Whether this gateway acts for all: it has the lowest address of those
+    /// that are heard.
+    pub fn is_first(&self, now: Millis) -> bool {
+        let lowest = self.fresh(now).map(|(address, _)| address).min();
+        self.own
+            .is_some_and(|own| lowest.is_none_or(|lowest| own < lowest))
+    }
+
+    /// Requests of the peers at each endpoint, by the endpoint's digest.
+    pub fn running(&self, now: Millis) -> HashMap<u64, (u32, u32)> {
+        let mut sums: HashMap<u64, (u32, u32)> = HashMap::new();
+        for (_, word) in self.fresh(now) {
+            for (endpoint, running, tokens) in &word.running {
+                let sum = sums.entry(*endpoint).or_default();
+                sum.0 = sum.0.saturating_add(*running);
+                sum.1 = sum.1.saturating_add(*tokens);
+            }
+        }
+        sums
+    }
+
+    /// Who gets the next word.
+    fn receivers(&self) -> Vec<SocketAddr> {
+        let addresses = self.rows.keys().copied();
+        addresses.sample(&mut rand::rng(), FANOUT_MAX)
+    }
+
+    fn told(&self, now: Millis) -> Vec<SocketAddr> {
+        let heard = self.fresh(now).map(|(address, _)| address);
+        heard.take(TOLD_PEERS_MAX).collect()
+    }
+}
+
+/// Decodes a datagram; what is out of bounds is no word.
+pub(crate) fn decode(bytes: &[u8]) -> Option<Word> {
+    let word: Word = postcard::from_bytes(bytes).ok()?;
+    let sane = word.running.len() <= RUNNING_MAX
+        && word.upgrades.len() <= UPGRADES_MAX
+        && word.peers.len() <= TOLD_PEERS_MAX
+        && word.upgrades.iter().all(is_sane);
+    sane.then_some(word)
+}
+
+fn is_sane(upgrade: &UpgradeWord) -> bool {
+    let counts = |e: &Evidence| [e.new_good, e.new_bad, e.old_good, e.old_bad];
+    let mut evidence = upgrade.evidence.iter().flat_map(|(_, e)| counts(e));
+    upgrade.evidence.len() <= ROUTES_MAX && evidence.all(|count| count <= COUNT_MAX)
+}
+
+/// Sends and takes words for good.
+pub(crate) async fn talk(gateway: Rc<Gateway>, socket: UdpSocket) {
+    let born_ms = gateway.born_ms();
+    let mut count = 0;
+    let mut buffer = [0; WORD_MAX_BYTES];
+    let mut tick = tokio::time::interval(Duration::from_millis(WORD_EVERY_MS));
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {
+                count += 1;
+                speak(&gateway, &socket, born_ms, count).await;
+            }
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => hear(&gateway, &buffer[..length], from),
+                // A peer's port without a listener shows here as an error.
+                Err(_) => gateway.stats.count("peer_words", "receive_failed"),
+            },
+        }
+    }
+}
+
+fn hear(gateway: &Gateway, bytes: &[u8], from: SocketAddr) {
+    let Some(word) = decode(bytes) else {
+        gateway.stats.count("peer_words", "malformed");
+        return;
+    };
+    gateway.stats.count("peer_words", "taken");
+    let now = gateway.now();
+    gateway.take_upgrades(&word);
+    if gateway.peers.borrow_mut().take(from, word, now) {
+        info!("event=peer_heard peer={from}");
+    }
+}
+
+async fn speak(gateway: &Gateway, socket: &UdpSocket, born_ms: u64, count: u64) {
+    let now = gateway.now();
+    for peer in gateway.peers.borrow_mut().expire(now) {
+        warn!("event=peer_silent peer={peer} silent_ms={FRESH_MS}");
+    }
+    let (word, receivers) = {
+        let peers = gateway.peers.borrow();
+        let mut running = gateway.pool.borrow().running();
+        running.truncate(RUNNING_MAX);
+        let word = Word {
+            born_ms,
+            count,
+            catalog_version: gateway.catalog().map_or(0, |catalog| catalog.version),
+            running,
+            upgrades: gateway.upgrade_words(UPGRADES_MAX),
+            peers: peers.told(now),
+        };
+        (word, peers.receivers())
+    };
+    gateway.take_elsewhere(now);
+    let bytes = match postcard::to_stdvec(&word) {
+        Ok(bytes) if bytes.len() <= WORD_MAX_BYTES => bytes,
+        Ok(_) | Err(_) => {
+            gateway.stats.count("peer_words", "too_long");
+            return;
+        }
+    };
+    for receiver in receivers {
+        // The next word makes up for a lost one.
+        if socket.send_to(&bytes, receiver).await.is_err() {
+            gateway.stats.count("peer_words", "send_failed");
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,7 @@
     body::{Cut, Pieces},
     dispatch::Dispatch,
     events::EventCutter,
+    upgrades::Quality,
 };
 
 /// A silent stream is given up after this many of its route's longest pauses.
@@ -128,6 +129,7 @@
             };
             match frame {
                 Some(Ok(frame)) => {
+                    source.running.heard();
                     let bytes = frame.into_data().unwrap_or_default();
                     if !self.cutter.push(&bytes) {
                         return Next::Broken("event_too_long");
@@ -158,6 +160,8 @@
         };
         source.running.judge(Verdict::Failed, reason);
         let endpoint = source.running.pick.endpoint.clone();
+        let gateway = &self.dispatch.gateway;
+        gateway.see_answer(&self.dispatch.job, &endpoint.version, Quality::Bad);
         drop(source);
         self.dispatch.record.attempt_failed(reason);
         self.dispatch.tried.push(endpoint.id);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,15 +6,20 @@
     rc::Rc,
 };
 
-use catalog::{Catalog, Limits, RolloutOrder, RolloutStatus};
+use catalog::{Catalog, Limits, RolloutStatus};
 use clock::{Clock, Millis, SystemClock};
 use log::info;
 use platform::Vocabulary;
-use route::{Pool, RetryBudget, SizeSettings, Versions};
+use route::{Pool, RetryBudget, SizeSettings, digest_text};
 use settings::Settings;
 use tokio::sync::Notify;
 
-use crate::{idle::IdleLinks, stats::Stats};
+use crate::{
+    idle::IdleLinks, peers::Peers, stats::Stats, upgrades::Rollout, usual::UsualTimes,
+};
+
+/// Sessions that are remembered.
+const SESSIONS_MAX: usize = 20_000;
 
 /// State of a gateway; everything runs on one thread.
 #[derive(Debug)]
@@ -26,10 +31,17 @@
     pub pool: RefCell<Pool>,
     pub links: RefCell<IdleLinks>,
     pub stats: Stats,
-    /// Orders by service.
-    pub orders: RefCell<HashMap<String, RolloutOrder>>,
+    pub peers: RefCell<Peers>,
+    pub usual: UsualTimes,
+    /// Roll-outs by service.
+    pub rollouts: RefCell<HashMap<String, Rollout>>,
     /// Recorded status by service.
     pub statuses: RefCell<HashMap<String, RolloutStatus>>,
+    /// Offset up to which the recorded status is known.
+    pub status_end: Cell<u64>,
+    /// Version of each session, as a digest, and when it was last on it.
+    sessions: RefCell<HashMap<u64, (u64, Millis)>>,
+    born_ms: u64,
     /// Told once when a stop begins.
     pub stopping: Notify,
     catalog: RefCell<Option<Rc<Catalog>>>,
@@ -39,16 +51,25 @@
 
 impl Gateway {
     pub fn new(settings: Settings) -> Self {
+        let clock = SystemClock::default();
+        let born_ms = clock.wall().0;
+        let own = settings.gateway.peer_listen;
+        let peers = Peers::new(own, &settings.process.peers);
         Gateway {
             settings,
             names: platform::vocabulary(),
-            clock: SystemClock::default(),
+            clock,
             sizes: SizeSettings::default(),
             pool: RefCell::default(),
             links: RefCell::default(),
             stats: Stats::default(),
-            orders: RefCell::default(),
+            peers: RefCell::new(peers),
+            usual: UsualTimes::default(),
+            rollouts: RefCell::default(),
             statuses: RefCell::default(),
+            status_end: Cell::default(),
+            sessions: RefCell::default(),
+            born_ms,
             stopping: Notify::new(),
             catalog: RefCell::default(),
             budgets: RefCell::default(),
@@ -111,24 +132,41 @@
         act(budget)
     }
 
-    /// Versions of `service` that may take new requests.
-    pub fn versions<'a>(
-        &self,
-        order: Option<&'a RolloutOrder>,
-        status: Option<&RolloutStatus>,
-    ) -> Versions<'a> {
-        let Some(order) = order else {
-            return Versions::Any;
-        };
-        let state = status
-            .filter(|status| status.target == order.target)
-            .map(|status| status.state);
-        match state {
-            Some(catalog::RolloutState::Completed) => Versions::Only(&order.target),
-            _ => Versions::Not(&order.target),
+    /// Version that `session` was on, if it went on within the time in which
+    /// it is to keep it.
+    pub fn last_version(&self, session: u64, now: Millis) -> Option<u64> {
+        let sessions = self.sessions.borrow();
+        let (version, at) = sessions.get(&session)?;
+        let kept = now.since(*at) <= self.settings.gateway.session_ms;
+        kept.then_some(*version)
+    }
+
+    /// Notes that `session` is on `version` now.
+    pub fn note_session(&self, session: u64, version: &str) {
+        let mut sessions = self.sessions.borrow_mut();
+        if sessions.len() < SESSIONS_MAX || sessions.contains_key(&session) {
+            sessions.insert(session, (digest_text(version), self.now()));
         }
     }
 
+    /// Forgets sessions that may change their version.
+    pub fn forget_sessions(&self, now: Millis) {
+        let kept_ms = self.settings.gateway.session_ms;
+        let mut sessions = self.sessions.borrow_mut();
+        sessions.retain(|_, (_, at)| now.since(*at) <= kept_ms);
+    }
+
+    /// Takes what the peers run into account.
+    pub fn take_elsewhere(&self, now: Millis) {
+        let running = self.peers.borrow().running(now);
+        self.pool.borrow_mut().set_elsewhere(&running);
+    }
+
+    /// Start of this process, ms since 1970.
+    pub fn born_ms(&self) -> u64 {
+        self.born_ms
+    }
+
     pub fn start_draining(&self) {
         self.draining_since.set(Some(self.now()));
         self.stopping.notify_one();
--- /dev/null
+++ b/crates/gateway/src/upgrades.rs
@@ -0,0 +1,354 @@
+//! Roll-outs under way: what this gateway does, sees and records of them.
+
+use std::{rc::Rc, time::Duration};
+
+use catalog::{RolloutOrder, RolloutState, RolloutStatus};
+use clock::Millis;
+use log::{info, warn};
+use platform::{LogClient, STATUS_TOPIC};
+use route::{RouteEvidence, Side, Upgrade, Versions, digest_text};
+use store::{KeyedLog, StoreError};
+
+use crate::{
+    job::Job,
+    peers::{ROUTES_MAX, UpgradeWord, Word},
+    state::Gateway,
+};
+
+/// Time between looks at the roll-outs, ms.
+const LOOK_MS: u64 = 250;
+
+/// Pause after a status could not be recorded, ms.
+const RECORD_RETRY_MS: u64 = 750;
+
+/// Time for which what a silent peer last said of its evidence counts, ms.
+const EVIDENCE_MS: u64 = 20_000;
+
+/// Time for which a silent peer may still have work on an old version, ms.
+const SILENT_WORK_MS: u64 = 6_000;
+
+/// Difference of two gateways' ages of an order that is no news, ms.
+const AGE_SLACK_MS: u64 = 300;
+
+/// A roll-out and its order.
+#[derive(Clone, Debug)]
+pub(crate) struct Rollout {
+    pub order: RolloutOrder,
+    pub upgrade: Upgrade,
+}
+
+/// Where a request goes by the roll-out of its service.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Track {
+    /// Version that is rolled out, if one is.
+    pub target: Option<String>,
+    /// Side of it that the request is on.
+    pub side: Option<Side>,
+}
+
+impl Track {
+    /// Versions that may serve.
+    pub fn versions(&self) -> Versions<'_> {
+        match (&self.target, self.side) {
+            (Some(target), Some(Side::New)) => Versions::Only(target),
+            (Some(target), Some(Side::Old)) => Versions::Not(target),
+            _ => Versions::Any,
+        }
+    }
+}
+
+/// How an answer of some version was.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Quality {
+    /// As it should be.
+    Good,
+    /// Failed, broken off or far slower than usual.
+    Bad,
+}
+
+impl Gateway {
+    /// Takes an order; `fresh` is whether it was given while this process ran.
+    pub fn take_order(&self, order: RolloutOrder, fresh: bool) {
+        let mut rollouts = self.rollouts.borrow_mut();
+        let held = rollouts.get(&order.service).map(|held| held.order.offset);
+        if held.is_some_and(|held| held >= order.offset) {
+            return;
+        }
+        info!(
+            "event=rollout_ordered service={} target={} within_ms={} offset={} fresh={fresh}",
+            order.service, order.target, order.within_ms, order.offset
+        );
+        let started = fresh.then(|| self.now());
+        let rollout = Rollout {
+            upgrade: Upgrade::new(started, order.within_ms),
+            order,
+        };
+        rollouts.insert(rollout.order.service.clone(), rollout);
+    }
+
+    /// Recorded state of the roll-out in `rollout`, if any.
+    fn recorded(&self, rollout: &Rollout) -> Option<RolloutState> {
+        let statuses = self.statuses.borrow();
+        let status = statuses.get(&rollout.order.service)?;
+        (status.target == rollout.order.target).then_some(status.state)
+    }
+
+    /// Where a request of `session` goes; `draw` stands in for a session.
+    pub fn track(&self, service: &str, session: Option<u64>, draw: u64) -> Track {
+        let rollouts = self.rollouts.borrow();
+        let Some(rollout) = rollouts.get(service) else {
+            return Track::default();
+        };
+        let target = &rollout.order.target;
+        let side = match self.recorded(rollout) {
+            Some(RolloutState::Completed) => Side::New,
+            Some(RolloutState::RolledBack) => Side::Old,
+            Some(RolloutState::Running) | None => {
+                let now = self.now();
+                let last = session.and_then(|session| self.last_version(session, now));
+                let last = last.map(|version| {
+                    if version == digest_text(target) {
+                        Side::New
+                    } else {
+                        Side::Old
+                    }
+                });
+                let share = self.share(rollout, now);
+                rollout.upgrade.side(last, draw, share, now)
+            }
+        };
+        Track {
+            target: Some(target.clone()),
+            side: Some(side),
+        }
+    }
+
+    fn share(&self, rollout: &Rollout, now: Millis) -> f64 {
+        let expose = f64::from(self.settings.gateway.expose_percent) / 100.0;
+        let all = self.all_evidence(rollout, now);
+        let peers = self.peers.borrow();
+        let in_touch = !peers.any_heard() || peers.fresh(now).next().is_some();
+        rollout.upgrade.share(expose, &all, in_touch, now)
+    }
+
+    fn all_evidence(&self, rollout: &Rollout, now: Millis) -> RouteEvidence {
+        let mut all = rollout.upgrade.own.clone();
+        for word in self.peers.borrow().heard_within(EVIDENCE_MS, now) {
+            let told = word.upgrades.iter();
+            for upgrade in told.filter(|u| u.offset == rollout.order.offset) {
+                for (route, evidence) in &upgrade.evidence {
+                    all.add(*route, evidence);
+                }
+            }
+        }
+        all
+    }
+
+    /// Counts an answer of `version` as evidence.
+    pub fn see_answer(&self, job: &Job, version: &str, quality: Quality) {
+        let mut rollouts = self.rollouts.borrow_mut();
+        let Some(rollout) = rollouts.get_mut(&job.service) else {
+            return;
+        };
+        let route = digest_text(&job.route().name);
+        let own = rollout.upgrade.own.of(route);
+        let count = match (version == rollout.order.target, quality) {
+            (true, Quality::Good) => &mut own.new_good,
+            (true, Quality::Bad) => &mut own.new_bad,
+            (false, Quality::Good) => &mut own.old_good,
+            (false, Quality::Bad) => &mut own.old_bad,
+        };
+        *count += 1;
+    }
+
+    /// Takes what a peer says of roll-outs.
+    pub fn take_upgrades(&self, word: &Word) {
+        let now = self.now();
+        let mut rollouts = self.rollouts.borrow_mut();
+        for told in &word.upgrades {
+            let known = rollouts.values_mut();
+            let mut same = known.filter(|r| r.order.offset == told.offset);
+            let Some(rollout) = same.next() else {
+                continue;
+            };
+            let upgrade = &mut rollout.upgrade;
+            if let Some(elapsed_ms) = told.elapsed_ms {
+                let own_ms = upgrade.elapsed_ms(now);
+                if own_ms.is_none_or(|own_ms| own_ms + AGE_SLACK_MS < elapsed_ms) {
+                    upgrade.started = Some(now.minus(elapsed_ms));
+                }
+            }
+            if told.halted && !upgrade.halted {
+                upgrade.halted = true;
+                warn!(
+                    "event=rollout_halted service={} target={} by=peer",
+                    rollout.order.service, rollout.order.target
+                );
+            }
+        }
+    }
+
+    /// What this gateway says of roll-outs that are not over.
+    pub fn upgrade_words(&self, most: usize) -> Vec<UpgradeWord> {
+        let now = self.now();
+        let rollouts = self.rollouts.borrow();
+        let open = rollouts.values().filter(|rollout| self.is_open(rollout));
+        let words = open.map(|rollout| UpgradeWord {
+            offset: rollout.order.offset,
+            elapsed_ms: rollout.upgrade.elapsed_ms(now),
+            evidence: rollout.upgrade.own.largest(ROUTES_MAX),
+            halted: rollout.upgrade.halted,
+            moved: self.share(rollout, now) >= 1.0,
+            old_running: self.old_running(rollout),
+        });
+        words.take(most).collect()
+    }
+
+    fn is_open(&self, rollout: &Rollout) -> bool {
+        !matches!(
+            self.recorded(rollout),
+            Some(RolloutState::Completed | RolloutState::RolledBack)
+        )
+    }
+
+    fn old_running(&self, rollout: &Rollout) -> u32 {
+        let pool = self.pool.borrow();
+        pool.running_besides(&rollout.order.service, &rollout.order.target)
+    }
+
+    /// Halts what the evidence of all gateways says is bad.
+    fn halt_bad(&self, now: Millis) {
+        let mut found = Vec::new();
+        for (service, rollout) in self.rollouts.borrow().iter() {
+            let all = self.all_evidence(rollout, now);
+            if self.is_open(rollout) && !rollout.upgrade.halted && all.is_bad() {
+                let all = all.total();
+                warn!(
+                    "event=rollout_halted service={service} target={} by=evidence new_good={} new_bad={} old_good={} old_bad={}",
+                    rollout.order.target,
+                    all.new_good,
+                    all.new_bad,
+                    all.old_good,
+                    all.old_bad
+                );
+                found.push(service.clone());
+            }
+        }
+        let mut rollouts = self.rollouts.borrow_mut();
+        for service in found {
+            if let Some(rollout) = rollouts.get_mut(&service) {
+                rollout.upgrade.halted = true;
+            }
+        }
+    }
+
+    /// What is to be recorded of a roll-out now, if anything.
+    fn due(&self, rollout: &Rollout, now: Millis) -> Option<RolloutState> {
+        let recorded = self.recorded(rollout);
+        if !self.is_open(rollout) {
+            return None;
+        }
+        if rollout.upgrade.halted {
+            return Some(RolloutState::RolledBack);
+        }
+        if self.is_moved_everywhere(rollout, now) {
+            return Some(RolloutState::Completed);
+        }
+        let known = rollout.upgrade.started.is_some();
+        (known && recorded.is_none()).then_some(RolloutState::Running)
+    }
+
+    /// Whether nothing runs on the old version, nor can come to.
+    ///
+    /// Its endpoints stop the moment that the completion is recorded.
+    fn is_moved_everywhere(&self, rollout: &Rollout, now: Millis) -> bool {
+        let moved = self.share(rollout, now) >= 1.0;
+        if !moved || self.old_running(rollout) > 0 {
+            return false;
+        }
+        let peers = self.peers.borrow();
+        let fresh = peers.fresh(now).count();
+        let recent = peers.heard_within(SILENT_WORK_MS, now).count();
+        let done = peers.fresh(now).all(|(_, word)| {
+            let mut told = word.upgrades.iter();
+            told.any(|u| {
+                u.offset == rollout.order.offset && u.moved && u.old_running == 0
+            })
+        });
+        fresh == recent && done
+    }
+}
+
+/// Looks after the roll-outs for good.
+///
+/// Every gateway halts by itself; the first of those that hear each other
+/// records.  Two that take themselves for the first do no harm: a record is
+/// appended only where the log still ends as its writer knows it.
+pub(crate) async fn look_after(gateway: Rc<Gateway>) {
+    let settings = &gateway.settings.store;
+    let mut log = LogClient::new(settings.address, settings.timeout_ms);
+    loop {
+        tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        let now = gateway.now();
+        gateway.halt_bad(now);
+        gateway.forget_sessions(now);
+        if !gateway.peers.borrow().is_first(now) {
+            continue;
+        }
+        for (service, status) in due_records(&gateway, now) {
+            if !record(&gateway, &mut log, &service, status).await {
+                tokio::time::sleep(Duration::from_millis(RECORD_RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+fn due_records(gateway: &Gateway, now: Millis) -> Vec<(String, RolloutStatus)> {
+    let rollouts = gateway.rollouts.borrow();
+    let due = rollouts.iter().filter_map(|(service, rollout)| {
+        let state = gateway.due(rollout, now)?;
+        let target = rollout.order.target.clone();
+        Some((service.clone(), RolloutStatus { state, target }))
+    });
+    due.collect()
+}
+
+/// Appends a status; false if it is not known to be on the log.
+async fn record(
+    gateway: &Gateway,
+    log: &mut LogClient,
+    service: &str,
+    status: RolloutStatus,
+) -> bool {
+    let at = gateway.status_end.get();
+    let key = platform::status_key(service);
+    let value = platform::encode_status(&status);
+    let appended = log.append(STATUS_TOPIC, &key, &value, at).await;
+    let (state, target) = (status.state, &status.target);
+    match appended {
+        Ok(end) => {
+            info!(
+                "event=rollout_recorded service={service} state={state} target={target} at={at}"
+            );
+            // Read back by the follower as well; this only saves a second call.
+            gateway.status_end.set(end.max(gateway.status_end.get()));
+            gateway
+                .statuses
+                .borrow_mut()
+                .insert(service.to_owned(), status);
+            true
+        }
+        Err(StoreError::Conflict { end }) => {
+            info!(
+                "event=rollout_record_conflict service={service} state={state} at={at} end={end}"
+            );
+            false
+        }
+        Err(err) => {
+            warn!(
+                "event=rollout_record_failed service={service} state={state} at={at} reason=\"{err}\""
+            );
+            false
+        }
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 mod runners;
 mod size;
 mod ticket;
+mod upgrade;
 mod version;
 
 pub use admission::{Admission, AdmissionError, Share};
@@ -29,4 +30,5 @@
 };
 pub use size::{SizeChoice, SizeSettings, first_size, judge_size};
 pub use ticket::{Ticket, TicketError, TicketKeys};
+pub use upgrade::{Evidence, RouteEvidence, Side, Upgrade};
 pub use version::{Choice, RouteError, Session, Wanted, choose_version, parse_wanted};
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -86,6 +86,10 @@
     pub uncached_tokens: u32,
     /// Predicted wait before the first event, ms.
     pub wait_ms: u64,
+    /// Own requests that ran there already.
+    pub running: u32,
+    /// Requests of other gateways there.
+    pub elsewhere: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -99,6 +103,11 @@
     reading_tokens: f64,
     /// Requests of other gateways, as they said last.
     elsewhere: u32,
+    /// Tokens that those still have to read.
+    elsewhere_tokens: f64,
+    /// When it last answered anything.
+    answered: Millis,
+    digest: u64,
     parts: HashMap<u64, Millis>,
     missing: bool,
 }
@@ -222,6 +231,8 @@
                 endpoint: row.endpoint.clone(),
                 uncached_tokens,
                 wait_ms: wait_ms as u64,
+                running: row.running,
+                elsewhere: row.elsewhere,
             })
     }
 
@@ -263,22 +274,47 @@
         row.health.take(verdict, now)
     }
 
-    /// Own requests under way at each endpoint.
-    pub fn running(&self) -> impl Iterator<Item = (&str, u32)> {
-        let rows = self.rows.iter().filter(|(_, row)| row.running > 0);
-        rows.map(|(id, row)| (id.as_str(), row.running))
+    /// Own requests under way at each endpoint, by the digest of its id, and
+    /// the tokens that these still have to read.
+    pub fn running(&self) -> Vec<(u64, u32, u32)> {
+        let busy = self.rows.values().filter(|row| row.running > 0);
+        busy.map(|row| (row.digest, row.running, row.reading_tokens as u32))
+            .collect()
     }
 
-    /// Takes the sum of what other gateways run at `id`.
-    pub fn set_elsewhere(&mut self, running: &HashMap<String, u32>) {
-        for (id, row) in &mut self.rows {
-            row.elsewhere = running.get(id).copied().unwrap_or(0);
+    /// Own requests under way at endpoints of `service` besides `version`.
+    pub fn running_besides(&self, service: &str, version: &str) -> u32 {
+        let others = self.rows.values().filter(|row| {
+            row.endpoint.service == service && row.endpoint.version != version
+        });
+        others.map(|row| row.running).sum()
+    }
+
+    /// Takes what other gateways run, by the digest of the endpoint's id.
+    pub fn set_elsewhere(&mut self, running: &HashMap<u64, (u32, u32)>) {
+        for row in self.rows.values_mut() {
+            let (count, tokens) = running.get(&row.digest).copied().unwrap_or_default();
+            row.elsewhere = count;
+            row.elsewhere_tokens = f64::from(tokens);
+        }
+    }
+
+    /// Takes that `id` gave some sign of life.
+    pub fn heard(&mut self, id: &str, now: Millis) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.answered = now;
         }
     }
+
+    /// When `id` last gave a sign of life.
+    pub fn last_heard(&self, id: &str) -> Option<Millis> {
+        self.rows.get(id).map(|row| row.answered)
+    }
 }
 
 impl Row {
     fn new(endpoint: Endpoint, count: u64) -> Self {
+        let digest = digest_text(&endpoint.id);
         Row {
             endpoint,
             count,
@@ -286,6 +322,9 @@
             running: 0,
             reading_tokens: 0.0,
             elsewhere: 0,
+            elsewhere_tokens: 0.0,
+            answered: Millis::default(),
+            digest,
             parts: HashMap::new(),
             missing: false,
         }
@@ -307,7 +346,8 @@
     }
 
     fn wait_ms(&self, ask: &Ask<'_>, uncached: u32, now: Millis) -> f64 {
-        let reading = self.reading_tokens + f64::from(uncached) * ask.pace;
+        let own = self.reading_tokens + f64::from(uncached) * ask.pace;
+        let reading = own + self.elsewhere_tokens;
         let running = f64::from(self.running + self.elsewhere);
         let far = self.endpoint.domain != ask.domain;
         let slots = f64::from(self.endpoint.slots.max(1));
--- /dev/null
+++ b/crates/route/src/upgrade.rs
@@ -0,0 +1,259 @@
+//! How much of a service's traffic a new version gets while it is rolled out.
+//!
+//! The load pattern it answers: a version that fails half of its requests, at
+//! once, after a while, under load or on one route, while every gateway sees
+//! only a small part of the answers.  Evidence is summed over the gateways, so
+//! that a bad version is stopped after a few answers; a good one serves
+//! everything well before its deadline, so that what runs on the old version
+//! can end in peace.  See `docs/design/deployment.md`.
+
+use std::collections::BTreeMap;
+
+use clock::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Part of the time in which nothing is exposed: endpoints of the new version
+/// start, and sessions under way become known.
+const WARM_UP: f64 = 0.04;
+
+/// Part of the time after which sessions may move to the new version.
+const MOVE_FROM: f64 = 0.5;
+
+/// Part of the time after which a proved version gets everything.
+const ALL_FROM: f64 = 0.58;
+
+/// Share between [`MOVE_FROM`] and [`ALL_FROM`].
+const STEP_SHARE: f64 = 0.35;
+
+/// Answers of the new version that prove it, unless too many were bad.
+const PROOF_ANSWERS: u64 = 30;
+
+/// Rate by which a proved version may look worse than the old one.
+const PROOF_MARGIN: f64 = 0.03;
+
+/// Answers on one route from which that route counts by itself.
+const ROUTE_ANSWERS: u64 = 6;
+
+/// Rate by which one route of a proved version may look worse.
+const ROUTE_MARGIN: f64 = 0.15;
+
+/// Bad answers from which a version can be judged bad.
+const BAD_MIN: u64 = 4;
+
+/// Rate by which a bad version must look worse than the old one.
+const BAD_MARGIN: f64 = 0.06;
+
+/// Standard errors by which it must look worse: one false alarm in a hundred
+/// looks at a good version, against a bad one found within some ten answers.
+const BAD_ERRORS: f64 = 2.3;
+
+/// Part of all requests that an unproved version may have got...
+const EXPOSED_SHARE: f64 = 0.11;
+
+/// ... and this many more.
+const EXPOSED_SLACK: f64 = 15.0;
+
+/// Answers of both versions, as one gateway or all have seen them.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evidence {
+    /// Good answers of the new version.
+    pub new_good: u64,
+    /// Failed or slow answers of the new version.
+    pub new_bad: u64,
+    /// Good answers of the old one.
+    pub old_good: u64,
+    /// Failed or slow answers of the old one.
+    pub old_bad: u64,
+}
+
+impl Evidence {
+    /// Adds what another gateway saw.
+    pub fn add(&mut self, other: &Evidence) {
+        self.new_good += other.new_good;
+        self.new_bad += other.new_bad;
+        self.old_good += other.old_good;
+        self.old_bad += other.old_bad;
+    }
+
+    fn new_answers(&self) -> u64 {
+        self.new_good + self.new_bad
+    }
+
+    fn old_answers(&self) -> u64 {
+        self.old_good + self.old_bad
+    }
+
+    /// By how much the new version's rate of bad answers is higher, and the
+    /// standard error of that.
+    fn difference(&self) -> (f64, f64) {
+        let (new, new_n) = (rate(self.new_bad, self.new_good), self.new_answers());
+        let (old, old_n) = (rate(self.old_bad, self.old_good), self.old_answers());
+        // Added to both sides, so that rates of zero or one keep an error.
+        let variance = |rate: f64, n: u64| {
+            let rate = rate.clamp(0.02, 0.98);
+            rate * (1.0 - rate) / n.max(1) as f64
+        };
+        let error = (variance(new, new_n) + variance(old, old_n)).sqrt();
+        (new - old, error)
+    }
+
+    /// Whether the new version is surely worse than the old one.
+    pub fn is_bad(&self) -> bool {
+        let (difference, error) = self.difference();
+        self.new_bad >= BAD_MIN
+            && difference > BAD_MARGIN
+            && difference > BAD_ERRORS * error
+    }
+}
+
+fn rate(bad: u64, good: u64) -> f64 {
+    bad as f64 / (bad + good).max(1) as f64
+}
+
+/// Evidence by route, since a version may be bad on one only.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RouteEvidence {
+    routes: BTreeMap<u64, Evidence>,
+}
+
+impl RouteEvidence {
+    /// The counts of a route, by its digest.
+    pub fn of(&mut self, route: u64) -> &mut Evidence {
+        self.routes.entry(route).or_default()
+    }
+
+    /// Adds what another gateway saw.
+    pub fn add(&mut self, route: u64, evidence: &Evidence) {
+        self.of(route).add(evidence);
+    }
+
+    /// The routes with the most answers of the new version.
+    pub fn largest(&self, most: usize) -> Vec<(u64, Evidence)> {
+        let mut routes: Vec<_> = self.routes.iter().map(|(r, e)| (*r, *e)).collect();
+        routes.sort_by_key(|(_, evidence)| std::cmp::Reverse(evidence.new_answers()));
+        routes.truncate(most);
+        routes
+    }
+
+    /// All routes together.
+    pub fn total(&self) -> Evidence {
+        let mut total = Evidence::default();
+        for evidence in self.routes.values() {
+            total.add(evidence);
+        }
+        total
+    }
+
+    /// Whether the new version is surely worse, on all routes or on one.
+    pub fn is_bad(&self) -> bool {
+        self.total().is_bad() || self.routes.values().any(Evidence::is_bad)
+    }
+
+    /// Whether the new version may get everything.
+    pub fn is_proof(&self) -> bool {
+        let total = self.total();
+        let within = |evidence: &Evidence, margin| evidence.difference().0 <= margin;
+        let mut known = self.routes.values().filter(|evidence| {
+            evidence.new_answers() >= ROUTE_ANSWERS && evidence.new_bad > 1
+        });
+        total.new_answers() >= PROOF_ANSWERS
+            && within(&total, PROOF_MARGIN)
+            && known.all(|evidence| within(evidence, ROUTE_MARGIN))
+    }
+
+    /// Whether the new version got as much as an unproved one may.
+    fn is_exposed(&self, part: f64) -> bool {
+        let total = self.total();
+        let seen = (total.new_answers() + total.old_answers()) as f64;
+        let expected = seen / part.clamp(0.05, 1.0);
+        total.new_answers() as f64 > expected * EXPOSED_SHARE + EXPOSED_SLACK
+    }
+}
+
+/// What one gateway knows of a roll-out that is under way.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Upgrade {
+    /// When the order was given, on this gateway's clock; `None` for an order
+    /// that is older than this process and of which no peer has told.
+    pub started: Option<Millis>,
+    /// Time within which it is to be complete, ms.
+    pub within_ms: u64,
+    /// Own evidence.
+    pub own: RouteEvidence,
+    /// Whether some gateway has found the version bad.
+    pub halted: bool,
+}
+
+/// Where a request goes while a roll-out is under way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Side {
+    /// To the version that served before.
+    Old,
+    /// To the new one.
+    New,
+}
+
+impl Upgrade {
+    /// A roll-out of an order that was just given, or one of unknown age.
+    pub fn new(started: Option<Millis>, within_ms: u64) -> Self {
+        Upgrade {
+            started,
+            within_ms,
+            own: RouteEvidence::default(),
+            halted: false,
+        }
+    }
+
+    /// Time since the order, ms.
+    pub fn elapsed_ms(&self, now: Millis) -> Option<u64> {
+        self.started.map(|started| now.since(started))
+    }
+
+    /// Share of new sessions that the new version gets.
+    ///
+    /// `all` is the evidence of all gateways; `in_touch` is whether others are
+    /// heard, without which nothing is risked beyond the first share.
+    pub fn share(
+        &self,
+        expose: f64,
+        all: &RouteEvidence,
+        in_touch: bool,
+        now: Millis,
+    ) -> f64 {
+        let Some(elapsed_ms) = self.elapsed_ms(now) else {
+            return 0.0;
+        };
+        let part = elapsed_ms as f64 / self.within_ms.max(1) as f64;
+        if self.halted || part < WARM_UP {
+            return 0.0;
+        }
+        if part < MOVE_FROM || !in_touch || !all.is_proof() {
+            return if all.is_exposed(part) { 0.0 } else { expose };
+        }
+        if part < ALL_FROM { STEP_SHARE } else { 1.0 }
+    }
+
+    /// Where a session goes, by where it was last and a draw that is the same
+    /// for it at every gateway.
+    ///
+    /// A session stays on its version in the first half, and never goes back.
+    pub fn side(&self, last: Option<Side>, draw: u64, share: f64, now: Millis) -> Side {
+        /// Steps of a draw.
+        const DRAWS: u64 = 10_000;
+        if self.halted {
+            return Side::Old;
+        }
+        let drawn = if ((draw % DRAWS) as f64) < share * DRAWS as f64 {
+            Side::New
+        } else {
+            Side::Old
+        };
+        let elapsed_ms = self.elapsed_ms(now).unwrap_or(0);
+        let first_half = (elapsed_ms as f64) < MOVE_FROM * self.within_ms as f64;
+        match last {
+            Some(Side::New) => Side::New,
+            Some(Side::Old) if first_half => Side::Old,
+            _ => drawn,
+        }
+    }
+}
--- a/crates/store/src/keyed.rs
+++ b/crates/store/src/keyed.rs
@@ -162,12 +162,14 @@
 /// What a follower tells its owner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum KeyedNews {
-    /// Keys changed; `asked_at` is when the read began that brought them.
+    /// Keys changed, or the topic was read without a change.
     Changed {
         /// The changes, in order.
         changes: Vec<KeyedChange>,
         /// Offset up to which the topic is known.
         end: u64,
+        /// Whether they were made while the topic was followed.
+        fresh: bool,
     },
     /// The log did not answer as expected; the last table holds on.
     Lost {
@@ -197,6 +199,7 @@
 {
     let mut table = KeyedTable::default();
     let mut whole = true;
+    let mut followed = false;
     let mut lost_at: Option<Millis> = None;
     let mut retry_ms = RETRY_MS;
     loop {
@@ -218,10 +221,16 @@
                 } else {
                     table.take(&page)
                 };
+                let end = table.end();
+                let fresh = followed;
+                tell(KeyedNews::Changed {
+                    changes,
+                    end,
+                    fresh,
+                });
                 // The list's pages are no snapshot: what came between is read.
                 whole = false;
-                let end = table.end();
-                tell(KeyedNews::Changed { changes, end });
+                followed = true;
             }
             Err(StoreError::Trimmed { first }) => {
                 info!(
