Weigh what reading a prompt costs others; ask no larger model in vain

Cause: at the peak the engines spent most of their time reading shared parts again (7.5 of 18 million tokens), since a subject's home was only a bonus that any short queue outweighed; and large runs that came late anyhow delayed all. Ruled out: too few homes (memory holds all subjects twice), stale loads.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,7 +8,9 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use route::{Ask, SizeChoice, Verdict, digest_text, first_size, judge_size};
+use route::{
+    Ask, SizeChoice, SizeInput, Verdict, Versions, digest_text, first_size, judge_size,
+};
 
 use crate::{
     attempt::{Answer, Extra, Failure, Kept, Running, attempt, last_moment},
@@ -282,37 +284,46 @@
     /// Picks an endpoint, of `version` where a stream has to stay on it.
     pub fn place(&self, version: Option<&str>) -> Option<Running> {
         let versions = match version {
-            Some(version) => route::Versions::Only(version),
+            Some(version) => Versions::Only(version),
             None => self.track.versions(),
         };
-        let ask = Ask {
+        let ask = self.ask(self.size, versions);
+        let pick = self.gateway.pool.borrow().pick(&ask, self.gateway.now())?;
+        Some(Running::new(&self.gateway, pick, &ask))
+    }
+
+    /// What the model of `size` would ask of an endpoint.
+    fn ask<'a>(&'a self, size: usize, versions: Versions<'a>) -> Ask<'a> {
+        Ask {
             service: &self.job.service,
             domain: &self.gateway.settings.process.room,
-            model: self.model().unwrap_or(""),
-            pace: self.pace(),
+            model: self.model_of(size).unwrap_or(""),
+            pace: self.pace(size),
             parts: &self.job.parts,
             tokens_in: self.job.prompt.tokens_in,
             tried: &self.tried,
             versions,
-        };
-        let pick = self.gateway.pool.borrow().pick(&ask, self.gateway.now())?;
-        Some(Running::new(&self.gateway, pick, &ask))
+        }
     }
 
     /// Model that the gateway names, if the choice is its.
     pub fn model(&self) -> Option<&str> {
+        self.model_of(self.size)
+    }
+
+    fn model_of(&self, size: usize) -> Option<&str> {
         if !self.job.any_model {
             return None;
         }
         let sizes = &self.job.route().model_sizes;
-        sizes.get(self.size).map(String::as_str)
+        sizes.get(size).map(String::as_str)
     }
 
-    fn pace(&self) -> f64 {
+    fn pace(&self, size: usize) -> f64 {
         if !self.job.any_model {
             return 1.0;
         }
-        PACES[self.size.min(PACES.len() - 1)]
+        PACES[size.min(PACES.len() - 1)]
     }
 
     /// How long to wait for the head of an answer, ms.
@@ -339,13 +350,29 @@
         let confidence = confidence.and_then(|value| value.to_str().ok());
         let confidence = confidence.and_then(|value| value.trim().parse::<f64>().ok());
         let confidence = confidence.map(|value| value.clamp(0.0, 100.0) as u8);
-        let left_ms = self.job.left_ms(self.gateway.now());
-        let more = self.attempts < route.attempts_max;
-        if !more {
+        if self.attempts >= route.attempts_max {
             return SizeChoice::Keep;
         }
+        let now = self.gateway.now();
         let sizes = route.model_sizes.len();
-        judge_size(self.size, sizes, confidence, left_ms, &self.gateway.sizes)
+        let input = SizeInput {
+            index: self.size,
+            sizes,
+            confidence,
+            elapsed_ms: now.since(self.job.started),
+            left_ms: self.job.left_ms(now),
+            objective_ms: route.objective_ms,
+            predicted_ms: self.predicted_ms(sizes.saturating_sub(1)),
+        };
+        judge_size(&input, &self.gateway.sizes)
+    }
+
+    /// Predicted time to the first event of the model of `size`, ms.
+    fn predicted_ms(&self, size: usize) -> u64 {
+        let ask = self.ask(size, self.track.versions());
+        let pool = self.gateway.pool.borrow();
+        let pick = pool.pick(&ask, self.gateway.now());
+        pick.map_or(0, |pick| pick.wait_ms)
     }
 
     /// Reads an answer to its end, so that it can be replaced by another if it
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -64,6 +64,8 @@
     pub service: String,
     pub team: Option<HeaderValue>,
     pub priority: u8,
+    /// When its first byte came.
+    pub started: Millis,
     /// When the caller, or the operator for it, stops waiting.
     pub deadline: Millis,
     pub parts: Vec<(u64, u32)>,
@@ -154,6 +156,7 @@
         service,
         team,
         priority,
+        started,
         deadline: started.plus(wait_ms),
         prompt,
         any_model,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use clock::{Clock, Millis, SystemClock};
 use log::info;
 use platform::Vocabulary;
-use route::{Pool, RetryBudget, SizeSettings, digest_text};
+use route::{Costs, Pool, RetryBudget, SizeSettings, digest_text};
 use settings::Settings;
 use tokio::sync::Notify;
 
@@ -55,12 +55,22 @@
         let born_ms = clock.wall().0;
         let own = settings.gateway.peer_listen;
         let peers = Peers::new(own, &settings.process.peers);
+        let place = settings.place;
+        let sizes = SizeSettings {
+            confidence_min: place.confidence_min,
+            late: f64::from(place.late_percent) / 100.0,
+            ..SizeSettings::default()
+        };
+        let pool = Pool::new(Costs {
+            running_ms: f64::from(place.running_us) / 1_000.0,
+            read_weight: f64::from(place.read_weight_percent) / 100.0,
+        });
         Gateway {
             settings,
             names: platform::vocabulary(),
             clock,
-            sizes: SizeSettings::default(),
-            pool: RefCell::default(),
+            sizes,
+            pool: RefCell::new(pool),
             links: RefCell::default(),
             stats: Stats::default(),
             peers: RefCell::new(peers),
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -17,8 +17,12 @@
 /// Prompt tokens that an engine reads in one ms.
 const PREFILL_TOKENS_PER_MS: f64 = 60.0;
 
-/// Delay that one more running request adds for a new one, ms.
-const RUNNING_MS: f64 = 6.0;
+/// Time that a plain service takes for a request, ms.
+const PLAIN_WORK_MS: f64 = 20.0;
+
+/// How likely an endpoint has a subject's parts from another gateway, by its
+/// place in the subject's order.
+const HOME_CACHED: [f64; 2] = [0.9, 0.4];
 
 /// Delay of a call to another failure domain, ms.
 const FAR_MS: f64 = 2.0;
@@ -33,6 +37,25 @@
 /// those that live announce themselves again within it.
 const LAPSE_GRACE_MS: u64 = 2_000;
 
+/// What waits weigh.
+#[derive(Clone, Copy, Debug)]
+pub struct Costs {
+    /// Delay that one running request adds for a new one, ms.
+    pub running_ms: f64,
+    /// What a ms of reading weighs besides the request's own wait: it delays
+    /// all that run there.
+    pub read_weight: f64,
+}
+
+impl Default for Costs {
+    fn default() -> Self {
+        Costs {
+            running_ms: 6.0,
+            read_weight: 4.0,
+        }
+    }
+}
+
 /// What a request asks of an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Ask<'a> {
@@ -115,11 +138,20 @@
 /// Every endpoint that is known, in id order.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    costs: Costs,
     rows: BTreeMap<String, Row>,
     lapses_until: Option<Millis>,
 }
 
 impl Pool {
+    /// An empty pool that weighs waits by `costs`.
+    pub fn new(costs: Costs) -> Self {
+        Pool {
+            costs,
+            ..Pool::default()
+        }
+    }
+
     /// Takes an announcement; returns whether it says anything new.
     ///
     /// An older incarnation's late word changes nothing; a later one starts
@@ -222,15 +254,25 @@
         let healthy = fits.iter().filter(|row| row.health.is_in(now)).count();
         // With fewer than half in, more is lost by crowding than by failures.
         let all = healthy * 2 < fits.len();
-        fits.into_iter()
+        let mut usable: Vec<&Row> = fits
+            .into_iter()
             .filter(|row| all || row.health.is_in(now))
-            .map(|row| (row, row.uncached(ask, now)))
-            .map(|(row, uncached)| (row, uncached, row.wait_ms(ask, uncached, now)))
+            .collect();
+        // The same order at every gateway: the first is the subject's home.
+        usable.sort_by_key(|row| row.rank(ask));
+        usable
+            .into_iter()
+            .enumerate()
+            .map(|(place, row)| (row, row.uncached(ask, place, now)))
+            .map(|(row, uncached)| {
+                let weight = row.weight_ms(&self.costs, ask, uncached, now);
+                (row, uncached, weight)
+            })
             .min_by(|a, b| a.2.total_cmp(&b.2))
-            .map(|(row, uncached_tokens, wait_ms)| Pick {
+            .map(|(row, uncached_tokens, _)| Pick {
                 endpoint: row.endpoint.clone(),
                 uncached_tokens,
-                wait_ms: wait_ms as u64,
+                wait_ms: row.wait_ms(&self.costs, ask, uncached_tokens) as u64,
                 running: row.running,
                 elsewhere: row.elsewhere,
             })
@@ -332,7 +374,10 @@
 
     /// Tokens that it would have to read; a part counts as cached only if all
     /// before it are.
-    fn uncached(&self, ask: &Ask<'_>, now: Millis) -> u32 {
+    ///
+    /// What this gateway has not sent there itself, another may have: most
+    /// likely to the subject's home, which is first in `place`.
+    fn uncached(&self, ask: &Ask<'_>, place: usize, now: Millis) -> u32 {
         let known = |digest: u64| {
             let used = self.parts.get(&salted(digest, ask.model));
             used.is_some_and(|used| now.since(*used) < CACHED_FOR_MS)
@@ -342,10 +387,14 @@
             .take_while(|(digest, _)| known(*digest))
             .map(|(_, tokens)| tokens)
             .sum();
-        ask.tokens_in.saturating_sub(cached)
+        let shared: u32 = shared_parts(ask.parts).iter().map(|(_, n)| n).sum();
+        let unknown = shared.saturating_sub(cached);
+        let likely = HOME_CACHED.get(place).copied().unwrap_or(0.0);
+        let likely = (f64::from(unknown) * likely) as u32;
+        ask.tokens_in.saturating_sub(cached + likely)
     }
 
-    fn wait_ms(&self, ask: &Ask<'_>, uncached: u32, now: Millis) -> f64 {
+    fn wait_ms(&self, costs: &Costs, ask: &Ask<'_>, uncached: u32) -> f64 {
         let own = self.reading_tokens + f64::from(uncached) * ask.pace;
         let reading = own + self.elsewhere_tokens;
         let running = f64::from(self.running + self.elsewhere);
@@ -353,33 +402,31 @@
         let slots = f64::from(self.endpoint.slots.max(1));
         let crowding = if ask.parts.is_empty() {
             // A plain service queues behind its few slots.
-            running / slots * 20.0
+            running / slots * PLAIN_WORK_MS
         } else {
-            running * RUNNING_MS
+            running * costs.running_ms
         };
-        let mut wait = reading / PREFILL_TOKENS_PER_MS + crowding;
-        wait += if far { FAR_MS } else { 0.0 };
-        wait += self.health.handicap_ms(now);
-        wait += self.rank(ask) * self.home_ms(ask);
-        wait
+        let wait = reading / PREFILL_TOKENS_PER_MS + crowding;
+        wait + if far { FAR_MS } else { 0.0 }
     }
 
-    /// Uniform in 0 to 1, the same at every gateway for a subject.
-    fn rank(&self, ask: &Ask<'_>) -> f64 {
-        let subject = subject(ask.parts).unwrap_or(0);
-        let id = self
-            .endpoint
-            .id
-            .bytes()
-            .fold(subject, |digest, byte| mix(digest ^ u64::from(byte)));
-        (salted(id, ask.model) >> 11) as f64 / (1u64 << 53) as f64
+    /// What sending the request here weighs, to it and to others, ms.
+    fn weight_ms(
+        &self,
+        costs: &Costs,
+        ask: &Ask<'_>,
+        uncached: u32,
+        now: Millis,
+    ) -> f64 {
+        let read_ms = f64::from(uncached) * ask.pace / PREFILL_TOKENS_PER_MS;
+        let wait = self.wait_ms(costs, ask, uncached);
+        wait + read_ms * costs.read_weight + self.health.handicap_ms(now)
     }
 
-    /// What not being a subject's home weighs, ms: the reading of its shared
-    /// parts, which its home has most likely done for another gateway.
-    fn home_ms(&self, ask: &Ask<'_>) -> f64 {
-        let shared: u32 = shared_parts(ask.parts).iter().map(|(_, n)| n).sum();
-        f64::from(shared) * ask.pace / PREFILL_TOKENS_PER_MS
+    /// Orders endpoints for a subject in the same way at every gateway.
+    fn rank(&self, ask: &Ask<'_>) -> u64 {
+        let subject = subject(ask.parts).unwrap_or(0);
+        salted(mix(self.digest ^ subject), ask.model)
     }
 }
 
--- a/crates/route/src/size.rs
+++ b/crates/route/src/size.rs
@@ -11,8 +11,10 @@
 pub struct SizeSettings {
     /// Confidence from which an answer is passed on, 0 to 100.
     pub confidence_min: u8,
-    /// Time left that a second run must have, as a multiple of the time that
-    /// the first took to its head.
+    /// Part of the objective beyond which a larger model's answer is too late
+    /// to be worth its engine's time.
+    pub late: f64,
+    /// Time left below which there is no second run, ms.
     pub left_min_ms: u64,
 }
 
@@ -20,11 +22,31 @@
     fn default() -> Self {
         SizeSettings {
             confidence_min: 50,
+            late: 1.0,
             left_min_ms: 400,
         }
     }
 }
 
+/// What is known of a request when the head of an answer came.
+#[derive(Clone, Copy, Debug)]
+pub struct SizeInput {
+    /// Place of the model that answered among the sizes.
+    pub index: usize,
+    /// How many sizes there are.
+    pub sizes: usize,
+    /// The model's own opinion, 0 to 100.
+    pub confidence: Option<u8>,
+    /// Time since the request's first byte, ms.
+    pub elapsed_ms: u64,
+    /// Time until its deadline, ms.
+    pub left_ms: u64,
+    /// Objective of its route, ms.
+    pub objective_ms: u64,
+    /// Predicted time to a first event of the largest model, ms.
+    pub predicted_ms: u64,
+}
+
 /// What to do with an answer whose head came.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SizeChoice {
@@ -43,20 +65,20 @@
     0
 }
 
-/// Whether the answer of model `index` of `sizes` is good enough.
+/// Whether an answer is good enough, or another is worth asking for.
 ///
 /// The middle size is passed over: where the smallest is unsure, it is too
 /// often unsure as well, and each run costs one of the attempts.
-pub fn judge_size(
-    index: usize,
-    sizes: usize,
-    confidence: Option<u8>,
-    left_ms: u64,
-    settings: &SizeSettings,
-) -> SizeChoice {
-    let last = sizes.saturating_sub(1);
+pub fn judge_size(input: &SizeInput, settings: &SizeSettings) -> SizeChoice {
+    let last = input.sizes.saturating_sub(1);
+    let confidence = input.confidence;
     let sure = confidence.is_none_or(|c| c >= settings.confidence_min);
-    if index >= last || sure || left_ms < settings.left_min_ms {
+    if input.index >= last || sure || input.left_ms < settings.left_min_ms {
+        return SizeChoice::Keep;
+    }
+    let answered_ms = (input.elapsed_ms + input.predicted_ms) as f64;
+    // At the peak an answer that comes too late anyhow only delays others.
+    if answered_ms > input.objective_ms as f64 * settings.late {
         return SizeChoice::Keep;
     }
     SizeChoice::Ask(last)
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -470,6 +470,34 @@
         number(0, 3_600_000),
         "Pause after which a session's next request may go to another version.",
     ),
+    key(
+        "place",
+        "read_weight_percent",
+        "250",
+        number(0, 10_000),
+        "What reading a prompt weighs besides its own wait, percent: it delays others.",
+    ),
+    key(
+        "place",
+        "running_us",
+        "6000",
+        number(0, 1_000_000),
+        "Delay that one running request adds for a new one.",
+    ),
+    key(
+        "place",
+        "confidence_min",
+        "50",
+        number(0, 100),
+        "Confidence from which a smaller model's answer is passed on.",
+    ),
+    key(
+        "place",
+        "late_percent",
+        "40",
+        number(0, 100_000),
+        "A larger model is not asked if its answer is predicted beyond this part of the objective.",
+    ),
 ];
 
 /// The reference page of all keys, in Markdown.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -23,5 +23,5 @@
 pub use secrets::{Operator, Secrets};
 pub use values::{
     AgentSettings, EntrySettings, GatewaySettings, LogSettings, Objective,
-    ProcessSettings, Role, Settings, StoreOutage, StoreSettings,
+    PlaceSettings, ProcessSettings, Role, Settings, StoreOutage, StoreSettings,
 };
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -185,6 +185,19 @@
     pub session_ms: u64,
 }
 
+/// Settings of where a gateway places requests, and with which model.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceSettings {
+    /// What reading a prompt weighs besides its own wait, percent.
+    pub read_weight_percent: u32,
+    /// Delay that one running request adds for a new one, us.
+    pub running_us: u32,
+    /// Confidence from which a smaller model's answer is passed on.
+    pub confidence_min: u8,
+    /// Part of the objective beyond which a larger model is not asked, percent.
+    pub late_percent: u32,
+}
+
 /// All settings of a process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -200,6 +213,8 @@
     pub agent: AgentSettings,
     /// Of a gateway.
     pub gateway: GatewaySettings,
+    /// Of where a gateway places requests.
+    pub place: PlaceSettings,
     /// Keys and digests from the secrets file.
     pub secrets: Secrets,
 }
@@ -295,6 +310,7 @@
         entry: build_entry(raw),
         agent: build_agent(raw),
         gateway: build_gateway(raw),
+        place: build_place(raw),
         secrets,
     }
 }
@@ -394,3 +410,13 @@
         session_ms: number("session_ms"),
     }
 }
+
+fn build_place(raw: &Raw) -> PlaceSettings {
+    let number = |key| raw.number("place", key);
+    PlaceSettings {
+        read_weight_percent: number("read_weight_percent") as u32,
+        running_us: number("running_us") as u32,
+        confidence_min: number("confidence_min") as u8,
+        late_percent: number("late_percent") as u32,
+    }
+}
