--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -362,7 +362,6 @@
             elapsed_ms: now.since(self.job.started),
             left_ms: self.job.left_ms(now),
             objective_ms: route.objective_ms,
-            priority: route.priority,
             predicted_ms: self.predicted_ms(sizes.saturating_sub(1)),
         };
         judge_size(&input, &self.gateway.sizes)
--- a/crates/route/src/size.rs
+++ b/crates/route/src/size.rs
@@ -28,10 +28,6 @@
     }
 }
 
-/// How much of the time for second runs each rank may use: while engines are
-/// short of time, it goes to the most urgent requests.
-const URGENCY: [f64; 3] = [1.5, 0.75, 0.5];
-
 /// What is known of a request when the head of an answer came.
 #[derive(Clone, Copy, Debug)]
 pub struct SizeInput {
@@ -47,8 +43,6 @@
     pub left_ms: u64,
     /// Objective of its route, ms.
     pub objective_ms: u64,
-    /// Rank of its route, zero the most urgent.
-    pub priority: u8,
     /// Predicted time to a first event of the largest model, ms.
     pub predicted_ms: u64,
 }
@@ -84,8 +78,7 @@
     }
     let answered_ms = (input.elapsed_ms + input.predicted_ms) as f64;
     // At the peak an answer that comes too late anyhow only delays others.
-    let rank = usize::from(input.priority).min(URGENCY.len() - 1);
-    if answered_ms > input.objective_ms as f64 * settings.late * URGENCY[rank] {
+    if answered_ms > input.objective_ms as f64 * settings.late {
         return SizeChoice::Keep;
     }
     SizeChoice::Ask(last)
