--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -96,7 +96,7 @@
     }
 
     /// When the endpoint last gave a sign of life.
-    fn last_heard(&self) -> Millis {
+    pub fn last_heard(&self) -> Millis {
         let pool = self.gateway.pool.borrow();
         let heard = pool.last_heard(&self.pick.endpoint.id);
         heard.unwrap_or_default()
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -292,6 +292,22 @@
         Some(Running::new(&self.gateway, pick, &ask))
     }
 
+    /// Whether a stream at `running` could go on at another endpoint.
+    pub fn can_move(&self, running: &Running) -> bool {
+        let route = self.job.route();
+        let endpoint = &running.pick.endpoint;
+        let versions = Versions::Only(&endpoint.version);
+        let tried = [&self.tried[..], std::slice::from_ref(&endpoint.id)].concat();
+        let ask = Ask {
+            tried: &tried,
+            ..self.ask(self.size, versions)
+        };
+        let pool = self.gateway.pool.borrow();
+        route.repeat.may_repeat()
+            && self.attempts < route.attempts_max
+            && pool.pick(&ask, self.gateway.now()).is_some()
+    }
+
     /// What the model of `size` would ask of an endpoint.
     fn ask<'a>(&'a self, size: usize, versions: Versions<'a>) -> Ask<'a> {
         Ask {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -103,21 +103,20 @@
     }
 
     async fn look(&mut self) -> Next {
-        let route = self.dispatch.job.route();
-        let silent_ms = match route.pause_objective_ms {
+        let silent_ms = match self.dispatch.job.route().pause_objective_ms {
             0 => SILENT_MS,
             pause_ms => pause_ms * SILENT_PAUSES,
         };
-        let Some(source) = &mut self.source else {
-            return Next::Broken("no_source");
-        };
         loop {
+            let Some(source) = &mut self.source else {
+                return Next::Broken("no_source");
+            };
             if let Some(events) = self.cutter.take() {
                 source.running.read();
                 return Next::Events(events);
             }
-            let now = self.dispatch.gateway.now();
-            let left_ms = last_moment(&self.dispatch.job).since(now);
+            let asked_at = self.dispatch.gateway.now();
+            let left_ms = last_moment(&self.dispatch.job).since(asked_at);
             if left_ms == 0 {
                 return Next::Late;
             }
@@ -125,6 +124,10 @@
             let frame = match tokio::time::timeout(limit, source.body.frame()).await {
                 Ok(frame) => frame,
                 Err(_) if left_ms <= silent_ms => return Next::Late,
+                // An endpoint that answers others has only put this one back,
+                // and where nobody else can go on, it is waited for.
+                Err(_) if source.running.last_heard() > asked_at => continue,
+                Err(_) if !self.dispatch.can_move(&source.running) => continue,
                 Err(_) => return Next::Broken("silent"),
             };
             match frame {
