Test the gateway before stand-ins; find fewer good versions bad

Margins now grow with the error, an unproved version gets twice the share in the second half within the same bound, and 2.6 errors are needed to stop one.

--- a/crates/core/src/daemon.rs
+++ b/crates/core/src/daemon.rs
@@ -122,6 +122,7 @@
                 return Exit::Failed;
             }
         };
+        announce("gateway", &listeners.addresses());
         let reloads = reload_signal();
         gateway::run(settings, file, listeners, stop_signal(), reloads).await;
         Exit::Done
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -307,10 +307,9 @@
     if let Some(model) = extra.model.and_then(|m| HeaderValue::from_str(m).ok()) {
         headers.insert(names.model.clone(), model);
     }
-    if let Some(id) = extra.last_event {
-        if let Ok(id) = HeaderValue::from_bytes(id) {
-            headers.insert(names.last_event.clone(), id);
-        }
+    let last_event = extra.last_event;
+    if let Some(id) = last_event.and_then(|id| HeaderValue::from_bytes(id).ok()) {
+        headers.insert(names.last_event.clone(), id);
     }
     if job.repeat().is_stream() {
         let priority = job.priority.min(PRIORITY_MAX);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -67,7 +67,7 @@
 
 fn last_id(events: &Bytes) -> Option<Bytes> {
     let lines = events.split(|&byte| byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.last()?.trim_ascii();
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = ids.next_back()?.trim_ascii();
     Some(events.slice_ref(id))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 mod upgrades;
 mod usual;
 
-use std::{io, path::PathBuf, rc::Rc};
+use std::{io, net::SocketAddr, path::PathBuf, rc::Rc};
 
 use log::info;
 use settings::{Role, Settings};
@@ -56,6 +56,20 @@
             words: UdpSocket::bind(gateway.peer_listen).await?,
         })
     }
+
+    /// The addresses as key=value pairs.
+    pub fn addresses(&self) -> String {
+        let shown = |address: io::Result<SocketAddr>| {
+            address.map_or_else(|_| "?".into(), |address| address.to_string())
+        };
+        format!(
+            "callers={} ready={} metrics={} words={}",
+            shown(self.callers.local_addr()),
+            shown(self.ready.local_addr()),
+            shown(self.metrics.local_addr()),
+            shown(self.words.local_addr()),
+        )
+    }
 }
 
 /// Serves until `stop` is done and the work in progress has ended.
--- a/crates/route/src/upgrade.rs
+++ b/crates/route/src/upgrade.rs
@@ -25,12 +25,19 @@
 /// Share between [`MOVE_FROM`] and [`ALL_FROM`].
 const STEP_SHARE: f64 = 0.35;
 
+/// How much more an unproved version gets in the second half.
+const SECOND_FACTOR: f64 = 2.0;
+
 /// Answers of the new version that prove it, unless too many were bad.
 const PROOF_ANSWERS: u64 = 30;
 
 /// Rate by which a proved version may look worse than the old one.
 const PROOF_MARGIN: f64 = 0.03;
 
+/// Standard errors by which it may look worse: chance alone does that to a
+/// good version while few have answered.
+const PROOF_ERRORS: f64 = 1.4;
+
 /// Answers on one route from which that route counts by itself.
 const ROUTE_ANSWERS: u64 = 6;
 
@@ -43,12 +50,12 @@
 /// Rate by which a bad version must look worse than the old one.
 const BAD_MARGIN: f64 = 0.06;
 
-/// Standard errors by which it must look worse: one false alarm in a hundred
-/// looks at a good version, against a bad one found within some ten answers.
-const BAD_ERRORS: f64 = 2.3;
+/// Standard errors by which it must look worse: evidence is looked at many
+/// times, and each look may raise a false alarm.
+const BAD_ERRORS: f64 = 2.6;
 
 /// Part of all requests that an unproved version may have got...
-const EXPOSED_SHARE: f64 = 0.11;
+const EXPOSED_SHARE: f64 = 0.12;
 
 /// ... and this many more.
 const EXPOSED_SLACK: f64 = 15.0;
@@ -152,7 +159,10 @@
     /// Whether the new version may get everything.
     pub fn is_proof(&self) -> bool {
         let total = self.total();
-        let within = |evidence: &Evidence, margin| evidence.difference().0 <= margin;
+        let within = |evidence: &Evidence, margin: f64| {
+            let (difference, error) = evidence.difference();
+            difference <= margin.max(PROOF_ERRORS * error)
+        };
         let mut known = self.routes.values().filter(|evidence| {
             evidence.new_answers() >= ROUTE_ANSWERS && evidence.new_bad > 1
         });
@@ -228,7 +238,13 @@
             return 0.0;
         }
         if part < MOVE_FROM || !in_touch || !all.is_proof() {
-            return if all.is_exposed(part) { 0.0 } else { expose };
+            // In the second half more answers are needed to tell it from chance.
+            let factor = if part < MOVE_FROM { 1.0 } else { SECOND_FACTOR };
+            return if all.is_exposed(part) {
+                0.0
+            } else {
+                expose * factor
+            };
         }
         if part < ALL_FROM { STEP_SHARE } else { 1.0 }
     }
--- /dev/null
+++ b/crates/standin/src/keyed.rs
@@ -0,0 +1,252 @@
+//! The users' platform's log, as far as a gateway uses it.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::{BufMut, Bytes, BytesMut};
+use http::StatusCode;
+use serde_json::json;
+use tokio::sync::watch;
+use volo_http::{
+    body::{Body, BodyConversion},
+    request::Request,
+    response::Response,
+};
+
+use crate::http::{any_port, empty, json as json_answer, query_number, serve};
+
+/// How the log misbehaves now.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KeyedFaults {
+    /// Refuses every call.
+    pub down: bool,
+    /// Takes every call and never answers it.
+    pub silent: bool,
+    /// Carries appends out and does not answer them.
+    pub lose_answers: bool,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    /// Key and value by offset; older ones may be gone.
+    records: BTreeMap<u64, (String, Bytes)>,
+    newest: BTreeMap<String, u64>,
+    end: u64,
+    first: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    topics: BTreeMap<String, Topic>,
+    faults: KeyedFaults,
+    calls: u64,
+}
+
+/// A log in this process.
+#[derive(Clone, Debug)]
+pub struct KeyedService {
+    /// Where it listens.
+    pub address: SocketAddr,
+    inner: Arc<Mutex<Inner>>,
+    changed: watch::Sender<u64>,
+}
+
+impl KeyedService {
+    /// Starts empty.
+    pub async fn start() -> Self {
+        let mut service = KeyedService {
+            address: any_port(),
+            inner: Arc::default(),
+            changed: watch::Sender::new(0),
+        };
+        let served = service.clone();
+        let handler = move |request: Request| served.clone().handle(request);
+        service.address = serve(any_port(), handler).await;
+        service
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Misbehaves from now on.
+    pub fn set_faults(&self, faults: KeyedFaults) {
+        self.lock().faults = faults;
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Calls taken so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Writes a record, as operators and endpoints do; an empty value drops
+    /// the key.
+    pub fn put(&self, topic: &str, key: &str, value: &str) {
+        self.append(topic, key, Bytes::copy_from_slice(value.as_bytes()));
+    }
+
+    /// The newest value of a key.
+    pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
+        let inner = self.lock();
+        let topic = inner.topics.get(topic)?;
+        let offset = topic.newest.get(key)?;
+        let (_, value) = topic.records.get(offset)?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
+    /// Drops all records but the newest of each key.
+    pub fn compact(&self, topic: &str) {
+        if let Some(topic) = self.lock().topics.get_mut(topic) {
+            let newest: Vec<u64> = topic.newest.values().copied().collect();
+            topic.records.retain(|offset, _| newest.contains(offset));
+            topic.first = topic.end;
+        }
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn append(&self, topic: &str, key: &str, value: Bytes) -> u64 {
+        let end = {
+            let mut inner = self.lock();
+            let topic = inner.topics.entry(topic.to_owned()).or_default();
+            let offset = topic.end;
+            topic.end += 1;
+            if value.is_empty() {
+                topic.newest.remove(key);
+            } else {
+                topic.newest.insert(key.to_owned(), offset);
+            }
+            topic.records.insert(offset, (key.to_owned(), value));
+            topic.end
+        };
+        self.changed.send_modify(|count| *count += 1);
+        end
+    }
+
+    async fn handle(self, request: Request) -> Response {
+        let faults = {
+            let mut inner = self.lock();
+            inner.calls += 1;
+            inner.faults
+        };
+        if faults.silent {
+            std::future::pending::<()>().await;
+        }
+        if faults.down {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let topic = query_text(&request, "topic").unwrap_or_default();
+        match request.uri().path() {
+            "/v1/log-read" => self.read(&topic, &request).await,
+            "/v1/log-newest" => self.list(&topic),
+            "/v1/log-append" => self.take_append(&topic, request, faults).await,
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn read(&self, topic: &str, request: &Request) -> Response {
+        let from = query_number(request, "from").unwrap_or(0);
+        let wait_ms = query_number(request, "wait_ms").unwrap_or(0);
+        let mut changed = self.changed.subscribe();
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            if self.lock().faults.silent {
+                std::future::pending::<()>().await;
+            }
+            if let Some(answer) = self.page(topic, from, false) {
+                return answer;
+            }
+            if tokio::time::timeout_at(until, changed.changed())
+                .await
+                .is_err()
+            {
+                let page = self.page(topic, from, true);
+                return page.unwrap_or_else(|| empty(StatusCode::NOT_FOUND));
+            }
+        }
+    }
+
+    /// Records from an offset on; `None` if there are none and that is no
+    /// answer yet.
+    fn page(&self, topic: &str, from: u64, may_be_empty: bool) -> Option<Response> {
+        let mut inner = self.lock();
+        let topic = inner.topics.entry(topic.to_owned()).or_default();
+        if from < topic.first {
+            let body = json!({ "first": topic.first });
+            return Some(json_answer(StatusCode::GONE, &body));
+        }
+        if from >= topic.end && !may_be_empty {
+            return None;
+        }
+        let mut page = BytesMut::new();
+        page.put_u64(topic.end);
+        page.put_u64(topic.first);
+        for (key, value) in topic.records.range(from..).map(|(_, record)| record) {
+            page.put_u32((1 + key.len() + value.len()) as u32);
+            page.put_u8(key.len() as u8);
+            page.put_slice(key.as_bytes());
+            page.put_slice(value);
+        }
+        Some(Response::new(Body::from(page.freeze())))
+    }
+
+    fn list(&self, topic: &str) -> Response {
+        let mut inner = self.lock();
+        let topic = inner.topics.entry(topic.to_owned()).or_default();
+        let items: Vec<_> = topic
+            .newest
+            .iter()
+            .map(|(key, offset)| {
+                let (_, value) = &topic.records[offset];
+                json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+            })
+            .collect();
+        let body = json!({ "items": items, "truncated": false, "end": topic.end });
+        json_answer(StatusCode::OK, &body)
+    }
+
+    async fn take_append(
+        &self,
+        topic: &str,
+        request: Request,
+        faults: KeyedFaults,
+    ) -> Response {
+        let at = query_number(&request, "at");
+        let body = request.into_body().into_bytes().await.unwrap_or_default();
+        let end = self.lock().topics.entry(topic.to_owned()).or_default().end;
+        if at.is_some_and(|at| at != end) {
+            let body = json!({ "end": end });
+            return json_answer(StatusCode::PRECONDITION_FAILED, &body);
+        }
+        let Some((key, value)) = split(&body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let end = self.append(topic, &key, value);
+        if faults.lose_answers {
+            std::future::pending::<()>().await;
+        }
+        let body = json!({ "offset": end - 1, "end": end });
+        json_answer(StatusCode::OK, &body)
+    }
+}
+
+/// Key and value of the one record in an append's body.
+fn split(body: &Bytes) -> Option<(String, Bytes)> {
+    let key_length = usize::from(*body.get(4)?);
+    let key = body.get(5..5 + key_length)?;
+    let value = body.slice(5 + key_length..);
+    Some((String::from_utf8_lossy(key).into_owned(), value))
+}
+
+fn query_text(request: &Request, name: &str) -> Option<String> {
+    let pairs = request.uri().query()?.split('&');
+    let mut values = pairs.filter_map(|pair| pair.split_once('='));
+    values
+        .find(|pair| pair.0 == name)
+        .map(|pair| pair.1.to_owned())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,17 +6,21 @@
 
 mod engine;
 mod http;
+mod keyed;
 mod live;
 mod logsvc;
 mod plain;
 mod rater;
 mod relay;
 mod weights;
+mod wire_endpoint;
 
 pub use engine::{Engine, EngineModel, EngineState};
+pub use keyed::{KeyedFaults, KeyedService};
 pub use live::LiveService;
 pub use logsvc::{LogFaults, LogService};
 pub use plain::{PlainFaults, PlainService};
 pub use rater::RaterService;
 pub use relay::{Relay, RelayMode};
 pub use weights::WeightStore;
+pub use wire_endpoint::{Act, Seen, WireEndpoint};
--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -76,10 +76,11 @@
         let room = LINE_MAX_BYTES - text.len() - 1;
         text.push_str(&line[..line.floor_char_boundary(room)]);
         text.push('\n');
-        // A pipe takes a text of this length whole or not at all.
+        // A pipe takes a text of this length whole or not at all; elsewhere a
+        // torn line counts as dropped.
         match state.sink.write(text.as_bytes()) {
-            Ok(_) => state.dropped = 0,
-            Err(_) => state.dropped += 1,
+            Ok(written) if written == text.len() => state.dropped = 0,
+            Ok(_) | Err(_) => state.dropped += 1,
         }
     }
 }
--- /dev/null
+++ b/tests/placing.rs
@@ -0,0 +1,244 @@
+//! Where a gateway sends requests, with scripted time.
+
+use std::collections::HashMap;
+
+use catalog::{Endpoint, EndpointState};
+use clock::Millis;
+use route::{
+    Ask, Costs, Health, Pool, SizeChoice, SizeInput, SizeSettings, Verdict,
+    digest_text, judge_size, prompt_digests,
+};
+
+fn endpoint(id: &str) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        born_ms: 1,
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: "a".to_owned(),
+        version: "v1".to_owned(),
+        slots: 64,
+        state: EndpointState::Ready,
+        warming_ms: 0,
+    }
+}
+
+fn pool(count: usize, costs: Costs) -> Pool {
+    let mut pool = Pool::new(costs);
+    for at in 0..count {
+        pool.announce(endpoint(&format!("e{at}")), 1);
+    }
+    pool
+}
+
+fn ask<'a>(parts: &'a [(u64, u32)], tokens_in: u32) -> Ask<'a> {
+    Ask {
+        service: "s",
+        domain: "a",
+        model: "m",
+        pace: 1.0,
+        parts,
+        tokens_in,
+        ..Ask::default()
+    }
+}
+
+/// Many subjects with long shared parts, sent by two gateways at once: each
+/// prompt is to be read by few engines.
+fn engines_a_subject(costs: Costs) -> f64 {
+    const SUBJECTS: u64 = 40;
+    let mut gateways = [pool(9, costs), pool(9, costs)];
+    let mut homes: HashMap<u64, Vec<String>> = HashMap::new();
+    for turn in 0..800_u64 {
+        let now = Millis(10_000 + turn * 20);
+        let subject = (turn * 7) % SUBJECTS;
+        let parts = prompt_digests([(subject, 13_000), (1_000 + turn, 3_000)]);
+        let pool = &mut gateways[(turn % 2) as usize];
+        let ask = ask(&parts, 16_000);
+        let pick = pool.pick(&ask, now).unwrap();
+        pool.sent(&pick.endpoint.id, &ask, pick.uncached_tokens, now);
+        let ids = homes.entry(subject).or_default();
+        if !ids.contains(&pick.endpoint.id) {
+            ids.push(pick.endpoint.id.clone());
+        }
+        // Each request is read at once and runs for 30 turns.
+        pool.read(&pick.endpoint.id, pick.uncached_tokens, 1.0);
+        if turn % 3 != 0 {
+            pool.ended(&pick.endpoint.id);
+        }
+    }
+    let all: usize = homes.values().map(Vec::len).sum();
+    all as f64 / SUBJECTS as f64
+}
+
+#[test]
+fn subject_is_kept_on_few_engines() {
+    let kept = engines_a_subject(Costs::default());
+    let spread = engines_a_subject(Costs {
+        read_weight: 0.0,
+        ..Costs::default()
+    });
+    assert!(kept < 2.5, "{kept}");
+    assert!(kept < spread, "{kept} {spread}");
+}
+
+#[test]
+fn hot_subject_spreads_before_it_queues() {
+    let mut pool = pool(4, Costs::default());
+    let now = Millis(10_000);
+    let mut used = Vec::new();
+    for request in 0..60 {
+        let parts = prompt_digests([(1, 6_000), (100 + request, 3_000)]);
+        let ask = ask(&parts, 9_000);
+        let pick = pool.pick(&ask, now).unwrap();
+        pool.sent(&pick.endpoint.id, &ask, pick.uncached_tokens, now);
+        used.push(pick.endpoint.id);
+    }
+    used.sort();
+    used.dedup();
+    assert_eq!(used.len(), 4, "none idles while others queue");
+}
+
+#[test]
+fn what_other_gateways_run_counts() {
+    let mut pool = pool(2, Costs::default());
+    let plain = ask(&[], 0);
+    let now = Millis(1_000);
+    let first = pool.pick(&plain, now).unwrap().endpoint.id;
+    let busy = HashMap::from([(digest_text(&first), (500, 0))]);
+    pool.set_elsewhere(&busy);
+    assert_ne!(pool.pick(&plain, now).unwrap().endpoint.id, first);
+}
+
+#[test]
+fn draining_tried_and_foreign_endpoints_are_not_picked() {
+    let mut pool = pool(2, Costs::default());
+    pool.announce(
+        Endpoint {
+            state: EndpointState::Draining,
+            ..endpoint("e0")
+        },
+        2,
+    );
+    let now = Millis(1_000);
+    assert_eq!(pool.pick(&ask(&[], 0), now).unwrap().endpoint.id, "e1");
+    let tried = ["e1".to_owned()];
+    let again = Ask {
+        tried: &tried,
+        ..ask(&[], 0)
+    };
+    assert_eq!(pool.pick(&again, now), None);
+    let other = Ask {
+        service: "other",
+        ..ask(&[], 0)
+    };
+    assert_eq!(pool.pick(&other, now), None);
+}
+
+#[test]
+fn late_word_of_an_earlier_incarnation_changes_nothing() {
+    let mut pool = pool(0, Costs::default());
+    let reborn = Endpoint {
+        born_ms: 9,
+        version: "v2".to_owned(),
+        ..endpoint("e0")
+    };
+    assert!(pool.announce(reborn, 1));
+    assert!(!pool.announce(endpoint("e0"), 50));
+    assert_eq!(pool.get("e0").unwrap().version, "v2");
+}
+
+#[test]
+fn endpoint_that_lapsed_while_the_list_was_away_gets_two_seconds() {
+    let mut pool = pool(2, Costs::default());
+    pool.list_lost();
+    pool.withdraw("e0", Millis(1_000));
+    assert!(pool.get("e0").is_some(), "it may only have lapsed");
+    pool.list_regained(Millis(5_000));
+    assert!(pool.expire(Millis(6_900)).is_empty());
+    assert_eq!(pool.expire(Millis(7_000)), ["e0"]);
+    pool.withdraw("e1", Millis(8_000));
+    assert!(pool.is_empty(), "gone at once while the list is well");
+}
+
+/// An endpoint that answers nothing has the shortest queue, and would draw
+/// every request.
+#[test]
+fn unreachable_endpoint_is_out_and_comes_back_on_trial() {
+    let mut pool = pool(3, Costs::default());
+    let mut now = Millis(10_000);
+    let out_ms = pool.judge("e0", Verdict::Unreachable, now).unwrap();
+    for _ in 0..50 {
+        assert_ne!(pool.pick(&ask(&[], 0), now).unwrap().endpoint.id, "e0");
+    }
+    now = now.plus(out_ms);
+    let again_ms = pool.judge("e0", Verdict::Unreachable, now).unwrap();
+    assert!(again_ms > out_ms, "longer each time");
+}
+
+#[test]
+fn half_of_the_pool_stays_in_whatever_fails() {
+    let mut pool = pool(3, Costs::default());
+    let now = Millis(10_000);
+    for id in ["e0", "e1", "e2"] {
+        pool.judge(id, Verdict::Unreachable, now);
+    }
+    assert!(pool.pick(&ask(&[], 0), now).is_some());
+}
+
+#[test]
+fn partly_failing_endpoint_is_taken_out_and_a_full_one_is_not() {
+    let mut health = Health::default();
+    let mut out = false;
+    for at in 0..40_u64 {
+        let verdict = if at % 5 < 2 {
+            Verdict::Good
+        } else {
+            Verdict::Failed
+        };
+        out |= health.take(verdict, Millis(at * 20)).is_some();
+    }
+    assert!(out);
+    let mut full = Health::default();
+    for at in 0..100 {
+        assert_eq!(full.take(Verdict::Full, Millis(at)), None);
+    }
+}
+
+fn size_input() -> SizeInput {
+    SizeInput {
+        index: 0,
+        sizes: 3,
+        confidence: Some(20),
+        elapsed_ms: 100,
+        left_ms: 10_000,
+        objective_ms: 2_000,
+        predicted_ms: 300,
+    }
+}
+
+/// At the peak an answer of the largest model that comes too late is worth
+/// little and delays all others.
+#[test]
+fn larger_model_is_asked_only_for_an_answer_in_time() {
+    let settings = SizeSettings {
+        late: 0.4,
+        ..SizeSettings::default()
+    };
+    assert_eq!(judge_size(&size_input(), &settings), SizeChoice::Ask(2));
+    let busy = SizeInput {
+        predicted_ms: 900,
+        ..size_input()
+    };
+    assert_eq!(judge_size(&busy, &settings), SizeChoice::Keep);
+    let sure = SizeInput {
+        confidence: Some(90),
+        ..size_input()
+    };
+    assert_eq!(judge_size(&sure, &settings), SizeChoice::Keep);
+    let largest = SizeInput {
+        index: 2,
+        ..size_input()
+    };
+    assert_eq!(judge_size(&largest, &settings), SizeChoice::Keep);
+}
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -3,4 +3,5 @@
 pub mod caller;
 pub mod process;
 pub mod script;
+pub mod site;
 pub mod world;
