--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -10,7 +10,7 @@
 /// An endpoint may break off in the middle of an event.  A caller that got
 /// half of it could not go on elsewhere, so only whole events are passed on.
 #[derive(Debug, Default)]
-pub(crate) struct EventCutter {
+pub struct EventCutter {
     held: BytesMut,
     last_id: Option<Bytes>,
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use log::{info, warn};
 use platform::{
     Announcement, CATALOG_KEY, ENDPOINT_TOPIC, LogClient, OPERATOR_TOPIC,
@@ -63,6 +64,9 @@
             end,
             fresh,
         } => {
+            if topic == OPERATOR_TOPIC {
+                gateway.log_lost.set(false);
+            }
             for change in changes {
                 take_change(gateway, topic, change, fresh);
             }
@@ -70,6 +74,7 @@
                 gateway.status_end.set(end);
             }
         }
+        KeyedNews::Lost { .. } if topic == OPERATOR_TOPIC => gateway.log_lost.set(true),
         KeyedNews::Lost { .. } if topic == ENDPOINT_TOPIC => {
             gateway.pool.borrow_mut().list_lost();
         }
@@ -130,15 +135,12 @@
 fn take_operator_record(
     gateway: &Gateway,
     key: &str,
-    bytes: &[u8],
+    bytes: &Bytes,
     offset: u64,
     fresh: bool,
 ) {
     if key == CATALOG_KEY {
-        match platform::decode_catalog(bytes) {
-            Ok(catalog) => gateway.install(catalog, "log"),
-            Err(err) => warn!("event=config_skipped offset={offset} reason=\"{err}\""),
-        }
+        gateway.install(bytes, "log");
         return;
     }
     if !key.starts_with(ORDER_KEY_PREFIX) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod dispatch;
 mod events;
+mod fetch;
 mod follow;
 mod idle;
 mod job;
@@ -30,6 +31,8 @@
     signal::unix::Signal,
 };
 
+pub use events::EventCutter;
+pub use peers::{UpgradeWord, Word, decode};
 use state::Gateway;
 
 /// Where a gateway listens.
@@ -43,17 +46,22 @@
     pub metrics: TcpListener,
     /// For other gateways' datagrams.
     pub words: UdpSocket,
+    /// For other gateways that ask for the configuration; the same address.
+    pub peers: TcpListener,
 }
 
 impl Listeners {
     /// Binds what the settings name.
     pub async fn bind(settings: &Settings) -> io::Result<Self> {
         let gateway = &settings.gateway;
+        let peers = TcpListener::bind(gateway.peer_listen).await?;
+        let peer_address = peers.local_addr()?;
         Ok(Listeners {
             callers: TcpListener::bind(gateway.listen).await?,
             ready: TcpListener::bind(gateway.ready_listen).await?,
             metrics: TcpListener::bind(gateway.metrics_listen).await?,
-            words: UdpSocket::bind(gateway.peer_listen).await?,
+            words: UdpSocket::bind(peer_address).await?,
+            peers,
         })
     }
 
@@ -84,18 +92,22 @@
 ) where
     S: Future<Output = ()>,
 {
-    let gateway = Rc::new(Gateway::new(settings));
+    let own = listeners.words.local_addr();
+    let own = own.unwrap_or(settings.gateway.peer_listen);
+    let gateway = Rc::new(Gateway::new(settings, own));
     let version = env!("CARGO_PKG_VERSION");
     info!(
         "event=started role=gateway version={version} room={} store={}",
         gateway.settings.process.room, gateway.settings.store.address
     );
     follow::start(&gateway);
-    for listener in [listeners.ready, listeners.metrics] {
+    let probes = [listeners.ready, listeners.metrics, listeners.peers];
+    for listener in probes {
         tokio::task::spawn_local(probe::serve(gateway.clone(), listener));
     }
     tokio::task::spawn_local(server::serve(gateway.clone(), listeners.callers));
     tokio::task::spawn_local(peers::talk(gateway.clone(), listeners.words));
+    tokio::task::spawn_local(fetch::look_after(gateway.clone()));
     tokio::task::spawn_local(upgrades::look_after(gateway.clone()));
     tokio::task::spawn_local(reload(file, reloads));
     stop.await;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -36,6 +36,9 @@
 /// Peers that are remembered.
 const PEERS_MAX: usize = 64;
 
+/// Words after which a peer is asked for its configuration.
+const TRUSTED_WORDS: u64 = 5;
+
 /// Largest datagram, bytes: one Ethernet frame.
 const WORD_MAX_BYTES: usize = 1_400;
 
@@ -57,7 +60,7 @@
 
 /// What a gateway says of a roll-out.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct UpgradeWord {
+pub struct UpgradeWord {
     /// Offset of the order, which names it.
     pub offset: u64,
     /// Time since the order, ms.
@@ -74,7 +77,7 @@
 
 /// One datagram.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct Word {
+pub struct Word {
     /// Start of the sender, ms since 1970: tells incarnations apart.
     pub born_ms: u64,
     /// Counts the sender's words.
@@ -188,6 +191,17 @@
         })
     }
 
+    /// The peer with the newest configuration, if it is newer than `version`
+    /// and it has been heard for some time: one datagram is not enough.
+    pub fn newer_catalog(&self, version: u64, now: Millis) -> Option<SocketAddr> {
+        let newest = self
+            .fresh(now)
+            .max_by_key(|(_, word)| word.catalog_version)?;
+        let (address, word) = newest;
+        let known = word.count >= TRUSTED_WORDS;
+        (known && word.catalog_version > version).then_some(address)
+    }
+
     /// Whether any peer was ever heard.
     pub fn any_heard(&self) -> bool {
         self.rows.values().any(|peer| peer.heard.is_some())
@@ -227,7 +241,7 @@
 }
 
 /// Decodes a datagram; what is out of bounds is no word.
-pub(crate) fn decode(bytes: &[u8]) -> Option<Word> {
+pub fn decode(bytes: &[u8]) -> Option<Word> {
     let word: Word = postcard::from_bytes(bytes).ok()?;
     let sane = word.running.len() <= RUNNING_MAX
         && word.upgrades.len() <= UPGRADES_MAX
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,4 +1,4 @@
-//! Tells whether callers are welcome, and the metrics.
+//! Tells whether callers are welcome, the metrics, and the configuration.
 
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
@@ -10,7 +10,7 @@
 use log::warn;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::state::Gateway;
+use crate::{fetch, state::Gateway};
 
 /// Pause after a connection could not be accepted, ms.
 const ACCEPT_PAUSE_MS: u64 = 50;
@@ -47,6 +47,9 @@
 }
 
 fn answer(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
+    if path == fetch::PATH {
+        return configuration(gateway);
+    }
     let (status, text) = match path {
         platform::READY_PATH if gateway.is_ready() => (StatusCode::OK, String::new()),
         platform::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
@@ -57,3 +60,15 @@
     *response.status_mut() = status;
     response
 }
+
+/// The record of the configuration in force, for another gateway.
+fn configuration(gateway: &Gateway) -> Response<Full<Bytes>> {
+    let record = gateway.catalog_record.borrow().clone();
+    let status = match record.is_empty() {
+        true => StatusCode::NOT_FOUND,
+        false => StatusCode::OK,
+    };
+    let mut response = Response::new(Full::new(record));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,12 +3,14 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
 };
 
+use bytes::Bytes;
 use catalog::{Catalog, Limits, RolloutStatus};
 use clock::{Clock, Millis, SystemClock};
-use log::info;
+use log::{info, warn};
 use platform::Vocabulary;
 use route::{Costs, Pool, RetryBudget, SizeSettings, digest_text};
 use settings::Settings;
@@ -44,16 +46,20 @@
     born_ms: u64,
     /// Told once when a stop begins.
     pub stopping: Notify,
+    /// The record that the configuration in force was decoded from.
+    pub catalog_record: RefCell<Bytes>,
+    /// Whether the operators' topic can be read.
+    pub log_lost: Cell<bool>,
     catalog: RefCell<Option<Rc<Catalog>>>,
     budgets: RefCell<HashMap<String, RetryBudget>>,
     draining_since: Cell<Option<Millis>>,
 }
 
 impl Gateway {
-    pub fn new(settings: Settings) -> Self {
+    /// A gateway whose peers reach it at `own`.
+    pub fn new(settings: Settings, own: SocketAddr) -> Self {
         let clock = SystemClock::default();
         let born_ms = clock.wall().0;
-        let own = settings.gateway.peer_listen;
         let peers = Peers::new(own, &settings.process.peers);
         let place = settings.place;
         let sizes = SizeSettings {
@@ -81,6 +87,8 @@
             sessions: RefCell::default(),
             born_ms,
             stopping: Notify::new(),
+            catalog_record: RefCell::default(),
+            log_lost: Cell::new(true),
             catalog: RefCell::default(),
             budgets: RefCell::default(),
             draining_since: Cell::default(),
@@ -102,8 +110,15 @@
         catalog.as_ref().map_or_else(Limits::default, |c| c.limits)
     }
 
-    /// Puts a configuration in force unless a newer one is.
-    pub fn install(&self, catalog: Catalog, source: &str) {
+    /// Decodes a configuration and puts it in force unless a newer one is.
+    pub fn install(&self, record: &Bytes, source: &str) {
+        let catalog = match platform::decode_catalog(record) {
+            Ok(catalog) => catalog,
+            Err(err) => {
+                warn!("event=config_skipped source={source} reason=\"{err}\"");
+                return;
+            }
+        };
         let held = self.catalog.borrow().as_ref().map(|held| held.version);
         if held.is_some_and(|held| held >= catalog.version) {
             return;
@@ -116,6 +131,7 @@
             catalog.teams.len(),
         );
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        *self.catalog_record.borrow_mut() = record.clone();
     }
 
     /// Counts a first attempt at a service.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -433,3 +433,35 @@
         assert!(text.contains(name), "{name} in {text}");
     }
 }
+
+/// The log may turn some gateways away and serve the others.
+#[tokio::test]
+async fn configuration_comes_from_a_peer_while_the_log_is_out_of_reach() {
+    let (site, _endpoint, first) = plain(Act::Answer).await;
+    let away = Site::start().await;
+    away.log.set_faults(KeyedFaults {
+        down: true,
+        ..KeyedFaults::default()
+    });
+    let peers = format!("[peers]\naddresses = {}\n", first.words);
+    let second = GatewayProcess::start(&away.dir, away.log.address, &peers);
+    second
+        .wait_logged("event=config_in_force version=1 before=0")
+        .await;
+    site.log.put("keyed.op", "config", &configuration(4));
+    let line = second.wait_logged("event=config_in_force version=4").await;
+    assert!(line.contains("source=peer"), "{line}");
+    first.wait_logged("event=peer_heard").await;
+}
+
+#[tokio::test]
+async fn stray_datagrams_change_nothing() {
+    let (_site, endpoint, gateway) = plain(Act::Answer).await;
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for bytes in [&b"no word"[..], &[0xff; 1_400], &[]] {
+        socket.send_to(bytes, gateway.words).await.unwrap();
+    }
+    let reply = ask(gateway.callers, &request("GET", "/safe/", "r1", "", "")).await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(endpoint.seen().len(), 1);
+}
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -30,3 +30,39 @@
         assert!(page.contains(&row), "docs/METRICS.md lacks: {row}");
     }
 }
+
+/// A reader of the log that stalls must cost lines, never time.
+#[test]
+fn bounded_lines_drop_what_does_not_fit_and_say_so() {
+    #[derive(Clone, Default)]
+    struct Pipe(std::sync::Arc<std::sync::Mutex<(bool, String)>>);
+    impl std::io::Write for Pipe {
+        fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+            let mut pipe = self.0.lock().expect("no panic");
+            if pipe.0 {
+                return Err(std::io::ErrorKind::WouldBlock.into());
+            }
+            pipe.1.push_str(&String::from_utf8_lossy(bytes));
+            Ok(bytes.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let pipe = Pipe::default();
+    let lines = telemetry::BoundedLines::new(Box::new(pipe.clone()));
+    lines.write("event=a");
+    pipe.0.lock().expect("no panic").0 = true;
+    for _ in 0..10_000 {
+        lines.write("event=b");
+    }
+    pipe.0.lock().expect("no panic").0 = false;
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(20);
+    while !pipe.0.lock().expect("no panic").1.contains("event=c") {
+        assert!(std::time::Instant::now() < until);
+        lines.write(&format!("event=c {}", "x".repeat(9_000)));
+    }
+    let written = pipe.0.lock().expect("no panic").1.clone();
+    assert!(written.starts_with("event=a\nevent=log_lines_dropped count="));
+    assert!(written.lines().all(|line| line.len() <= 4_096));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -12,6 +12,7 @@
 mod claims;
 mod command_line;
 mod configuration;
+mod events;
 mod gate;
 mod gateway;
 mod golden;
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -31,6 +31,8 @@
     pub ready: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
+    /// Where other gateways reach it.
+    pub words: SocketAddr,
 }
 
 impl Drop for GatewayProcess {
@@ -43,7 +45,8 @@
 impl GatewayProcess {
     /// Starts a gateway with `extra` settings.
     pub fn start(dir: &TempDir, store: SocketAddr, extra: &str) -> GatewayProcess {
-        let file = dir.path().join("gateway.ini");
+        let file = tempfile::Builder::new().suffix(".ini").tempfile_in(dir);
+        let (_, file) = file.expect("a file can be made").keep().expect("and kept");
         let settings = format!(
             "[process]\nroom = a\ninstance = g1\n[store]\naddress = {store}\ntimeout_ms = 300\npoll_wait_ms = 300\n[gateway]\nlisten = 127.0.0.1:0\nready_listen = 127.0.0.1:0\nmetrics_listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\n{extra}"
         );
@@ -68,6 +71,7 @@
             callers: address("callers"),
             ready: address("ready"),
             metrics: address("metrics"),
+            words: address("words"),
             lines: lines.clone(),
             child,
         };
