--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -370,15 +370,16 @@
             return SizeChoice::Keep;
         }
         let now = self.gateway.now();
-        let sizes = route.model_sizes.len();
+        let sizes = 0..route.model_sizes.len();
+        let predicted_ms: Vec<u64> =
+            sizes.map(|size| self.predicted_ms(size)).collect();
         let input = SizeInput {
             index: self.size,
-            sizes,
             confidence,
             elapsed_ms: now.since(self.job.started),
             left_ms: self.job.left_ms(now),
             objective_ms: route.objective_ms,
-            predicted_ms: self.predicted_ms(sizes.saturating_sub(1)),
+            predicted_ms: &predicted_ms,
         };
         judge_size(&input, &self.gateway.sizes)
     }
--- a/crates/route/src/size.rs
+++ b/crates/route/src/size.rs
@@ -28,13 +28,14 @@
     }
 }
 
+/// Confidence by which a little unsure answer may miss what is asked for.
+const LITTLE_UNSURE: u8 = 12;
+
 /// What is known of a request when the head of an answer came.
 #[derive(Clone, Copy, Debug)]
-pub struct SizeInput {
+pub struct SizeInput<'a> {
     /// Place of the model that answered among the sizes.
     pub index: usize,
-    /// How many sizes there are.
-    pub sizes: usize,
     /// The model's own opinion, 0 to 100.
     pub confidence: Option<u8>,
     /// Time since the request's first byte, ms.
@@ -43,8 +44,8 @@
     pub left_ms: u64,
     /// Objective of its route, ms.
     pub objective_ms: u64,
-    /// Predicted time to a first event of the largest model, ms.
-    pub predicted_ms: u64,
+    /// Predicted time to a first event of each size, ms.
+    pub predicted_ms: &'a [u64],
 }
 
 /// What to do with an answer whose head came.
@@ -67,19 +68,26 @@
 
 /// Whether an answer is good enough, or another is worth asking for.
 ///
-/// The middle size is passed over: where the smallest is unsure, it is too
-/// often unsure as well, and each run costs one of the attempts.
-pub fn judge_size(input: &SizeInput, settings: &SizeSettings) -> SizeChoice {
-    let last = input.sizes.saturating_sub(1);
-    let confidence = input.confidence;
-    let sure = confidence.is_none_or(|c| c >= settings.confidence_min);
+/// A model that is a little unsure was a little too small, so that the next
+/// size will do; one that is very unsure would be followed by another that is.
+/// At the peak an answer that comes too late anyhow only delays others: then
+/// a smaller one that comes in time is asked for, or none.
+pub fn judge_size(input: &SizeInput<'_>, settings: &SizeSettings) -> SizeChoice {
+    let last = input.predicted_ms.len().saturating_sub(1);
+    let confidence = input.confidence.unwrap_or(100);
+    let sure = confidence >= settings.confidence_min;
     if input.index >= last || sure || input.left_ms < settings.left_min_ms {
         return SizeChoice::Keep;
     }
-    let answered_ms = (input.elapsed_ms + input.predicted_ms) as f64;
-    // At the peak an answer that comes too late anyhow only delays others.
-    if answered_ms > input.objective_ms as f64 * settings.late {
-        return SizeChoice::Keep;
-    }
-    SizeChoice::Ask(last)
+    let next = input.index + 1;
+    let little = confidence.saturating_add(LITTLE_UNSURE) >= settings.confidence_min;
+    let wanted = if little { next } else { last };
+    let late_ms = input.objective_ms as f64 * settings.late;
+    let in_time =
+        |size: &usize| (input.elapsed_ms + input.predicted_ms[*size]) as f64 <= late_ms;
+    let sizes = (next..=wanted).rev();
+    sizes
+        .into_iter()
+        .find(in_time)
+        .map_or(SizeChoice::Keep, SizeChoice::Ask)
 }
