--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use rand::RngExt;
 use route::{
-    Ask, SizeChoice, SizeInput, Verdict, Versions, digest_text, first_size, judge_size,
+    Ask, Verdict, Versions, digest_text, first_size, is_worth_asking, wanted_size,
 };
 
 use crate::{
@@ -193,16 +193,14 @@
                     let status = answer.response.status();
                     if status.is_success() {
                         self.attempts += 1;
-                        match self.judge_size(&answer) {
-                            SizeChoice::Keep => return self.relay(answer),
-                            SizeChoice::Ask(size) => {
-                                self.record.attempt_failed("unsure");
-                                self.may_have_run = true;
-                                self.size = size;
-                                self.tried.clear();
-                                continue;
-                            }
-                        }
+                        let Some(size) = self.larger_size(&answer) else {
+                            return self.relay(answer);
+                        };
+                        self.record.attempt_failed("unsure");
+                        self.may_have_run = true;
+                        self.size = size;
+                        self.tried.clear();
+                        continue;
                     }
                     match self.whole(answer).await {
                         Step::Done(response) => {
@@ -354,11 +352,13 @@
         route.objective_ms.max(1).min(all_ms)
     }
 
-    fn judge_size(&self, answer: &Answer) -> SizeChoice {
-        if !self.job.any_model {
-            return SizeChoice::Keep;
-        }
+    /// The size to ask instead of passing `answer` on, if any.
+    fn larger_size(&self, answer: &Answer) -> Option<usize> {
         let route = self.job.route();
+        if !self.job.any_model || self.attempts >= route.attempts_max {
+            return None;
+        }
+        let settings = &self.gateway.sizes;
         let confidence = answer
             .response
             .headers()
@@ -366,22 +366,13 @@
         let confidence = confidence.and_then(|value| value.to_str().ok());
         let confidence = confidence.and_then(|value| value.trim().parse::<f64>().ok());
         let confidence = confidence.map(|value| value.clamp(0.0, 100.0) as u8);
-        if self.attempts >= route.attempts_max {
-            return SizeChoice::Keep;
-        }
+        let sizes = route.model_sizes.len();
+        let size = wanted_size(self.size, sizes, confidence, settings)?;
         let now = self.gateway.now();
-        let sizes = 0..route.model_sizes.len();
-        let predicted_ms: Vec<u64> =
-            sizes.map(|size| self.predicted_ms(size)).collect();
-        let input = SizeInput {
-            index: self.size,
-            confidence,
-            elapsed_ms: now.since(self.job.started),
-            left_ms: self.job.left_ms(now),
-            objective_ms: route.objective_ms,
-            predicted_ms: &predicted_ms,
-        };
-        judge_size(&input, &self.gateway.sizes)
+        let answered_ms = now.since(self.job.started) + self.predicted_ms(size);
+        let left_ms = self.job.left_ms(now);
+        is_worth_asking(answered_ms, route.objective_ms, left_ms, settings)
+            .then_some(size)
     }
 
     /// Predicted time to the first event of the model of `size`, ms.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,7 +28,7 @@
     Balance, Locality, NoRunner, Outcome, PickSettings, Report, Runner, RunnerKey,
     Runners, Target,
 };
-pub use size::{SizeChoice, SizeInput, SizeSettings, first_size, judge_size};
+pub use size::{SizeSettings, first_size, is_worth_asking, wanted_size};
 pub use ticket::{Ticket, TicketError, TicketKeys};
 pub use upgrade::{Evidence, RouteEvidence, Side, Upgrade};
 pub use version::{Choice, RouteError, Session, Wanted, choose_version, parse_wanted};
--- a/crates/route/src/size.rs
+++ b/crates/route/src/size.rs
@@ -31,32 +31,6 @@
 /// Confidence by which a little unsure answer may miss what is asked for.
 const LITTLE_UNSURE: u8 = 12;
 
-/// What is known of a request when the head of an answer came.
-#[derive(Clone, Copy, Debug)]
-pub struct SizeInput<'a> {
-    /// Place of the model that answered among the sizes.
-    pub index: usize,
-    /// The model's own opinion, 0 to 100.
-    pub confidence: Option<u8>,
-    /// Time since the request's first byte, ms.
-    pub elapsed_ms: u64,
-    /// Time until its deadline, ms.
-    pub left_ms: u64,
-    /// Objective of its route, ms.
-    pub objective_ms: u64,
-    /// Predicted time to a first event of each size, ms.
-    pub predicted_ms: &'a [u64],
-}
-
-/// What to do with an answer whose head came.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SizeChoice {
-    /// Pass it on.
-    Keep,
-    /// Drop it and ask the model of this index.
-    Ask(usize),
-}
-
 /// Which model of `sizes` a request is tried with first.
 pub fn first_size(sizes: usize, left_ms: u64, settings: &SizeSettings) -> usize {
     // With no time for a second run the surest answer is asked for at once.
@@ -66,28 +40,35 @@
     0
 }
 
-/// Whether an answer is good enough, or another is worth asking for.
+/// The size to ask after an answer of size `index`, if it is not good enough.
 ///
 /// A model that is a little unsure was a little too small, so that the next
 /// size will do; one that is very unsure would be followed by another that is.
-/// At the peak an answer that comes too late anyhow only delays others: then
-/// a smaller one that comes in time is asked for, or none.
-pub fn judge_size(input: &SizeInput<'_>, settings: &SizeSettings) -> SizeChoice {
-    let last = input.predicted_ms.len().saturating_sub(1);
-    let confidence = input.confidence.unwrap_or(100);
-    let sure = confidence >= settings.confidence_min;
-    if input.index >= last || sure || input.left_ms < settings.left_min_ms {
-        return SizeChoice::Keep;
+pub fn wanted_size(
+    index: usize,
+    sizes: usize,
+    confidence: Option<u8>,
+    settings: &SizeSettings,
+) -> Option<usize> {
+    let last = sizes.saturating_sub(1);
+    let confidence = confidence?;
+    if index >= last || confidence >= settings.confidence_min {
+        return None;
     }
-    let next = input.index + 1;
     let little = confidence.saturating_add(LITTLE_UNSURE) >= settings.confidence_min;
-    let wanted = if little { next } else { last };
-    let late_ms = input.objective_ms as f64 * settings.late;
-    let in_time =
-        |size: &usize| (input.elapsed_ms + input.predicted_ms[*size]) as f64 <= late_ms;
-    let sizes = (next..=wanted).rev();
-    sizes
-        .into_iter()
-        .find(in_time)
-        .map_or(SizeChoice::Keep, SizeChoice::Ask)
+    Some(if little { index + 1 } else { last })
+}
+
+/// Whether another answer is worth waiting for, which is predicted to come
+/// `answered_ms` after the request did.
+///
+/// At the peak one that comes too late anyhow only delays others.
+pub fn is_worth_asking(
+    answered_ms: u64,
+    objective_ms: u64,
+    left_ms: u64,
+    settings: &SizeSettings,
+) -> bool {
+    let in_time = answered_ms as f64 <= objective_ms as f64 * settings.late;
+    in_time && left_ms >= settings.left_min_ms
 }
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -5,8 +5,8 @@
 use catalog::{Endpoint, EndpointState};
 use clock::Millis;
 use route::{
-    Ask, Costs, Health, Pool, SizeChoice, SizeInput, SizeSettings, Verdict,
-    digest_text, judge_size, prompt_digests,
+    Ask, Costs, Health, Pool, SizeSettings, Verdict, digest_text, is_worth_asking,
+    prompt_digests, wanted_size,
 };
 
 fn endpoint(id: &str) -> Endpoint {
@@ -205,16 +205,17 @@
     }
 }
 
-fn size_input() -> SizeInput {
-    SizeInput {
-        index: 0,
-        sizes: 3,
-        confidence: Some(20),
-        elapsed_ms: 100,
-        left_ms: 10_000,
-        objective_ms: 2_000,
-        predicted_ms: 300,
-    }
+#[test]
+fn unsure_answer_is_followed_by_a_size_that_fits() {
+    let settings = SizeSettings::default();
+    let wanted = |index, confidence| wanted_size(index, 3, confidence, &settings);
+    assert_eq!(wanted(0, Some(90)), None);
+    assert_eq!(wanted(0, Some(50)), None);
+    assert_eq!(wanted(0, Some(45)), Some(1), "a little too small");
+    assert_eq!(wanted(0, Some(5)), Some(2), "far too small");
+    assert_eq!(wanted(1, Some(45)), Some(2));
+    assert_eq!(wanted(2, Some(0)), None, "there is none larger");
+    assert_eq!(wanted(0, None), None);
 }
 
 /// At the peak an answer of the largest model that comes too late is worth
@@ -225,20 +226,10 @@
         late: 0.4,
         ..SizeSettings::default()
     };
-    assert_eq!(judge_size(&size_input(), &settings), SizeChoice::Ask(2));
-    let busy = SizeInput {
-        predicted_ms: 900,
-        ..size_input()
-    };
-    assert_eq!(judge_size(&busy, &settings), SizeChoice::Keep);
-    let sure = SizeInput {
-        confidence: Some(90),
-        ..size_input()
-    };
-    assert_eq!(judge_size(&sure, &settings), SizeChoice::Keep);
-    let largest = SizeInput {
-        index: 2,
-        ..size_input()
-    };
-    assert_eq!(judge_size(&largest, &settings), SizeChoice::Keep);
+    assert!(is_worth_asking(500, 2_000, 10_000, &settings));
+    assert!(!is_worth_asking(900, 2_000, 10_000, &settings));
+    assert!(
+        !is_worth_asking(500, 2_000, 100, &settings),
+        "no time is left"
+    );
 }
