--- a/crates/core/src/daemon.rs
+++ b/crates/core/src/daemon.rs
@@ -38,6 +38,12 @@
     println!("{what} {addresses}");
 }
 
+/// Tells why an address could not be bound.
+fn cannot_listen(err: &std::io::Error) -> Exit {
+    eprintln!("currantbank: cannot listen ({err}); free the address or change it");
+    Exit::Failed
+}
+
 /// Runs `currantbank entry`.
 pub fn entry(args: &DaemonArgs) -> Exit {
     let settings = match prepare(Role::Entry, args) {
@@ -48,12 +54,7 @@
     runtime.block_on(async {
         let listeners = match Listeners::bind(&settings).await {
             Ok(listeners) => listeners,
-            Err(err) => {
-                eprintln!(
-                    "currantbank: cannot listen ({err}); free the address or change it"
-                );
-                return Exit::Failed;
-            }
+            Err(err) => return cannot_listen(&err),
         };
         let address = |listener: &TcpListener| {
             listener
@@ -85,12 +86,7 @@
     let run = async {
         let listener = match TcpListener::bind(settings.agent.listen).await {
             Ok(listener) => listener,
-            Err(err) => {
-                eprintln!(
-                    "currantbank: cannot listen ({err}); free the address or change it"
-                );
-                return Exit::Failed;
-            }
+            Err(err) => return cannot_listen(&err),
         };
         if let Ok(address) = listener.local_addr() {
             announce("agent", &format!("peers={address}"));
@@ -115,12 +111,7 @@
     let run = async {
         let listeners = match gateway::Listeners::bind(&settings).await {
             Ok(listeners) => listeners,
-            Err(err) => {
-                eprintln!(
-                    "currantbank: cannot listen ({err}); free the address or change it"
-                );
-                return Exit::Failed;
-            }
+            Err(err) => return cannot_listen(&err),
         };
         announce("gateway", &listeners.addresses());
         let reloads = reload_signal();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -32,6 +32,15 @@
     (site, engines, gateway)
 }
 
+/// A site with one engine and a gateway before it.
+async fn one_engine(act: Act) -> (Site, GatewayProcess) {
+    let site = Site::start().await;
+    let engine = WireEndpoint::start(act).await;
+    site.announce("e1", "engine", &engine);
+    let gateway = site.gateway("").await;
+    (site, gateway)
+}
+
 const DRAFT: &str =
     "x-model: *\r\nx-token-usage: 100,40\r\nx-prompt-prefix: a1:60,b2:40\r\n";
 
@@ -237,10 +246,7 @@
 
 #[tokio::test]
 async fn stream_that_nobody_can_go_on_with_is_visibly_cut() {
-    let site = Site::start().await;
-    let engine = WireEndpoint::start(Act::Tear(2)).await;
-    site.announce("e1", "engine", &engine);
-    let gateway = site.gateway("").await;
+    let (_site, gateway) = one_engine(Act::Tear(2)).await;
     let reply = ask(
         gateway.callers,
         &request("POST", "/draft/", "r1", DRAFT, "x"),
@@ -255,10 +261,7 @@
 /// no other endpoint could go on with it.
 #[tokio::test]
 async fn silent_stream_is_waited_for_where_nobody_can_go_on() {
-    let site = Site::start().await;
-    let engine = WireEndpoint::start(Act::Pause(1_500)).await;
-    site.announce("e1", "engine", &engine);
-    let gateway = site.gateway("").await;
+    let (_site, gateway) = one_engine(Act::Pause(1_500)).await;
     let reply = ask(
         gateway.callers,
         &request("POST", "/draft/", "r1", DRAFT, "x"),
