Ask one model only where a stream runs once; give lists more time

A stream that cannot be resumed may run once, so that it is asked of the largest model at once and never of a second; the test failed before (two runs). A send on a kept connection that was lost counts as a repeat.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -265,7 +265,12 @@
             // A late second answer to what was asked before, or the endpoint
             // closed meanwhile: says nothing of it, and a fresh one tells.
             Ok(_) => gateway.stats.count("kept_link", "foreign_answer"),
-            Err(_) => gateway.stats.count("kept_link", "closed"),
+            Err(err) if err.is_unsent() => gateway.stats.count("kept_link", "closed"),
+            Err(_) => gateway.stats.count("kept_link", "lost"),
+        }
+        // It may have arrived, so that another send counts as a repeat.
+        if !gateway.take_retry(&endpoint.service) {
+            return Err(Failure::MayHaveRun("kept_link_lost"));
         }
     }
     gateway.stats.count("connect", &endpoint.service);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -119,8 +119,14 @@
 
 /// What an attempt came to.
 enum Step {
+    /// The answer, read to its end.
     Done(Response<Outgoing>),
-    Again,
+    /// A stream to pass on.
+    Relay(Box<Answer>),
+    /// An answer to drop for one of the model of this size.
+    Larger(usize),
+    /// No answer to pass on.
+    Failed(Failure),
 }
 
 impl Dispatch {
@@ -133,7 +139,13 @@
             job.catalog.version,
         );
         let left_ms = job.left_ms(gateway.now());
-        let size = first_size(job.route().model_sizes.len(), left_ms, &gateway.sizes);
+        let sizes = job.route().model_sizes.len();
+        let size = if job.repeat().may_repeat() {
+            first_size(sizes, left_ms, &gateway.sizes)
+        } else {
+            // What runs once has no second try: the surest model is asked.
+            sizes.saturating_sub(1)
+        };
         let draw = job
             .session
             .unwrap_or_else(|| digest_text(shown_id(&job.id)));
@@ -188,43 +200,21 @@
                 pick.wait_ms,
                 sent.is_ok()
             );
-            let failure = match sent {
-                Ok(answer) if self.job.repeat().is_stream() => {
-                    let status = answer.response.status();
-                    if status.is_success() {
-                        self.attempts += 1;
-                        let Some(size) = self.larger_size(&answer) else {
-                            return self.relay(answer);
-                        };
-                        self.record.attempt_failed("unsure");
-                        self.may_have_run = true;
-                        self.size = size;
-                        self.tried.clear();
-                        continue;
-                    }
-                    match self.whole(answer).await {
-                        Step::Done(response) => {
-                            self.record
-                                .ended(response.status().as_u16(), "endpoint_error");
-                            return response;
-                        }
-                        Step::Again => Failure::MayHaveRun("endpoint_error"),
-                    }
+            let step = match sent {
+                Ok(answer) => self.weigh(answer).await,
+                Err(failure) => Step::Failed(failure),
+            };
+            let failure = match step {
+                Step::Done(response) => return self.done(response),
+                Step::Relay(answer) => return self.relay(*answer),
+                Step::Larger(size) => {
+                    self.record.attempt_failed("unsure");
+                    self.may_have_run = true;
+                    self.size = size;
+                    self.tried.clear();
+                    continue;
                 }
-                Ok(answer) => match self.whole(answer).await {
-                    Step::Done(response) => {
-                        let status = response.status();
-                        let outcome = if status.is_success() {
-                            "answered"
-                        } else {
-                            "endpoint_error"
-                        };
-                        self.record.ended(status.as_u16(), outcome);
-                        return response;
-                    }
-                    Step::Again => Failure::MayHaveRun("endpoint_error"),
-                },
-                Err(failure) => failure,
+                Step::Failed(failure) => failure,
             };
             self.record.attempt_failed(failure.reason());
             self.tried.push(id);
@@ -240,6 +230,30 @@
         }
     }
 
+    /// Decides what to do with an answer whose head came.
+    async fn weigh(&mut self, answer: Answer) -> Step {
+        let streams = self.job.repeat().is_stream();
+        if !streams || !answer.response.status().is_success() {
+            return self.whole(answer).await;
+        }
+        self.attempts += 1;
+        match self.larger_size(&answer) {
+            Some(size) => Step::Larger(size),
+            None => Step::Relay(Box::new(answer)),
+        }
+    }
+
+    fn done(self, response: Response<Outgoing>) -> Response<Outgoing> {
+        let status = response.status();
+        let outcome = if status.is_success() {
+            "answered"
+        } else {
+            "endpoint_error"
+        };
+        self.record.ended(status.as_u16(), outcome);
+        response
+    }
+
     /// Notes the version that the request, and so its session, is on.
     fn on_version(&mut self, version: &str) {
         self.version = Some(version.to_owned());
@@ -355,7 +369,8 @@
     /// The size to ask instead of passing `answer` on, if any.
     fn larger_size(&self, answer: &Answer) -> Option<usize> {
         let route = self.job.route();
-        if !self.job.any_model || self.attempts >= route.attempts_max {
+        let again = route.repeat.may_repeat() && self.attempts < route.attempts_max;
+        if !self.job.any_model || !again {
             return None;
         }
         let settings = &self.gateway.sizes;
@@ -399,7 +414,7 @@
         let read = tokio::time::timeout(limit, reading).await;
         let Ok(Ok(body)) = read else {
             running.judge(Verdict::Failed, "answer_broken");
-            return Step::Again;
+            return Step::Failed(Failure::MayHaveRun("answer_broken"));
         };
         running.read();
         Answer::release(&self.gateway, &running, link, kept);
@@ -416,7 +431,7 @@
             && self.attempts + 1 < route.attempts_max
             && self.job.left_ms(self.gateway.now()) >= ATTEMPT_MIN_MS;
         if again {
-            return Step::Again;
+            return Step::Failed(Failure::MayHaveRun("endpoint_error"));
         }
         strip_hop_by_hop(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
--- a/crates/store/src/keyed.rs
+++ b/crates/store/src/keyed.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use clock::{Clock, Millis};
 use log::{info, warn};
+use rand::RngExt;
 
 use crate::StoreError;
 
@@ -16,7 +17,7 @@
 const RETRY_MS: u64 = 100;
 
 /// Longest pause after failed calls, ms.
-const RETRY_MAX_MS: u64 = 500;
+const RETRY_MAX_MS: u64 = 700;
 
 /// One record of a keyed topic.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -247,7 +248,9 @@
                         reason: err.to_string(),
                     });
                 }
-                tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+                // Drawn, so that those who start together do not ask together.
+                let pause_ms = rand::rng().random_range(retry_ms / 2..=retry_ms);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 retry_ms = (retry_ms * 2).min(RETRY_MAX_MS);
             }
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -468,3 +468,21 @@
     assert_eq!(reply.status, 200);
     assert_eq!(endpoint.seen().len(), 1);
 }
+
+/// A stream that cannot be resumed runs once, whatever its model thinks of it.
+#[tokio::test]
+async fn stream_that_runs_once_is_not_asked_of_a_second_model() {
+    let (site, engines, gateway) = engines(Act::Confident(2, 5)).await;
+    let once = configuration(9).replace("\"resumable\":true", "\"resumable\":false");
+    site.log.put("keyed.op", "config", &once);
+    gateway.wait_logged("event=config_in_force version=9").await;
+    let reply = ask(
+        gateway.callers,
+        &request("POST", "/draft/", "r1", DRAFT, "x"),
+    )
+    .await;
+    assert!(reply.is_whole(), "{reply:?}");
+    let seen: Vec<_> = engines.iter().flat_map(|engine| engine.seen()).collect();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].header("x-model"), Some("m2"), "the surest");
+}
