Leave the records of roll-outs to a gateway that reaches the log

Ruled out: evidence (halted at all within 0.2 s), a conflict of writers. Words tell now whether their sender can read the log.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -84,6 +84,8 @@
     pub count: u64,
     /// Version of its configuration; zero for none.
     pub catalog_version: u64,
+    /// Whether it can read the log, and so record.
+    pub reads_log: bool,
     /// Digests of endpoints, its requests there, and the tokens that these
     /// still have to read.
     pub running: Vec<(u64, u32, u32)>,
@@ -207,10 +209,11 @@
         self.rows.values().any(|peer| peer.heard.is_some())
     }
 
-    /// Whether this gateway acts for all: it has the lowest address of those
-    /// that are heard.
+    /// Whether this gateway acts for all, given that it can read the log: it
+    /// has the lowest address of those that are heard and can read it too.
     pub fn is_first(&self, now: Millis) -> bool {
-        let lowest = self.fresh(now).map(|(address, _)| address).min();
+        let able = self.fresh(now).filter(|(_, word)| word.reads_log);
+        let lowest = able.map(|(address, _)| address).min();
         self.own
             .is_some_and(|own| lowest.is_none_or(|lowest| own < lowest))
     }
@@ -304,6 +307,7 @@
             born_ms,
             count,
             catalog_version: gateway.catalog().map_or(0, |catalog| catalog.version),
+            reads_log: !gateway.log_lost.get(),
             running,
             upgrades: gateway.upgrade_words(UPGRADES_MAX),
             peers: peers.told(now),
--- a/crates/gateway/src/upgrades.rs
+++ b/crates/gateway/src/upgrades.rs
@@ -295,7 +295,8 @@
         let now = gateway.now();
         gateway.weigh_rollouts(now);
         gateway.forget_sessions(now);
-        if !gateway.peers.borrow().is_first(now) {
+        // One that the log turns away leaves the records to the next.
+        if gateway.log_lost.get() || !gateway.peers.borrow().is_first(now) {
             continue;
         }
         for (service, status) in due_records(&gateway, now) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -486,3 +486,35 @@
     assert_eq!(seen.len(), 1);
     assert_eq!(seen[0].header("x-model"), Some("m2"), "the surest");
 }
+
+/// Sicilia, the recorded day inc-3054: the gateway that was to record could not
+/// reach the log, and a roll-out that all had halted stayed unrecorded for 9 s.
+#[tokio::test]
+async fn roll_out_is_recorded_by_one_that_reaches_the_log() {
+    let site = Site::start().await;
+    let away = Site::start().await;
+    let old = WireEndpoint::start(Act::Answer).await;
+    site.announce("p1", "plain", &old);
+    away.announce("p1", "plain", &old);
+    let first = away.gateway("").await;
+    let peers = format!("[peers]\naddresses = {}\n", first.words);
+    let second = GatewayProcess::start(&site.dir, site.log.address, &peers);
+    second.wait_ready().await;
+    first.wait_logged("event=peer_heard").await;
+    second.wait_logged("event=peer_heard").await;
+    let (low, low_site, high, high_site) = if first.words < second.words {
+        (&first, &away, &second, &site)
+    } else {
+        (&second, &site, &first, &away)
+    };
+    low_site.log.set_faults(KeyedFaults {
+        down: true,
+        ..KeyedFaults::default()
+    });
+    low.wait_logged("event=log_lost topic=keyed.op").await;
+    let order = r#"{"service":"plain","target":"v2","over_s":8}"#;
+    high_site.log.put("keyed.op", "rollout/plain", order);
+    high.wait_logged("event=rollout_recorded").await;
+    let status = high_site.log.newest("keyed.status", "rollout/plain");
+    assert!(status.is_some_and(|status| status.contains("running")));
+}
