--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,13 +15,11 @@
 /// Time between the systems' ticks over the tables, ms.
 const TICK_MS: u64 = 250;
 
-/// How long a read of the endpoints waits, in waits of the configuration.
+/// How long a read of recorded roll-outs waits, in waits of the others.
 ///
 /// A connection that went silent is noticed only when its read's time is over,
-/// so that the wait bounds how old a belief can be while the log is well.
-const ENDPOINT_WAITS: u64 = 2;
-
-/// How long a read of recorded roll-outs waits, in the same.
+/// so that the wait bounds how old a belief can be while the log is well.  A
+/// record is late by that at most, which only prolongs a roll-out.
 const STATUS_WAITS: u64 = 5;
 
 /// Starts the followers and the tick.
@@ -29,7 +27,7 @@
     let wait_ms = gateway.settings.store.poll_wait_ms;
     let topics = [
         (OPERATOR_TOPIC, wait_ms),
-        (ENDPOINT_TOPIC, wait_ms * ENDPOINT_WAITS),
+        (ENDPOINT_TOPIC, wait_ms),
         (STATUS_TOPIC, wait_ms * STATUS_WAITS),
     ];
     for (topic, wait_ms) in topics {
@@ -40,6 +38,10 @@
 
 async fn follow(gateway: Rc<Gateway>, topic: &'static str, wait_ms: u64) {
     let settings = &gateway.settings.store;
+    info!(
+        "event=following topic={topic} wait_ms={wait_ms} timeout_ms={}",
+        settings.timeout_ms
+    );
     let client = LogClient::new(settings.address, settings.timeout_ms);
     let tell = |news| take_news(&gateway, topic, news);
     follow_keyed(client, topic, wait_ms, &gateway.clock, tell).await;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -518,3 +518,28 @@
     let status = high_site.log.newest("keyed.status", "rollout/plain");
     assert!(status.is_some_and(|status| status.contains("running")));
 }
+
+/// Vam, silent-connections-in-a-release, seed 397195513299: a read of the
+/// endpoints that would never be answered was waited for 2.7 s, in which an
+/// endpoint's leaving went unseen.
+#[tokio::test]
+async fn silent_read_is_over_before_a_leaving_endpoint_must_be_known() {
+    /// Time in which an endpoint's leaving is to take effect, ms (`drain_ms`).
+    const DRAIN_MS: u64 = 2_000;
+    let deployed = include_str!("../deploy/gateway.ini");
+    let value = |key: &str| -> u64 {
+        let mut lines = deployed.lines().filter_map(|line| line.split_once(" = "));
+        let found = lines.find(|(name, _)| *name == key).expect("a key");
+        found.1.parse().expect("a number")
+    };
+    let (_site, _endpoint, gateway) = plain(Act::Answer).await;
+    for topic in ["keyed.servers", "keyed.op"] {
+        let line = gateway
+            .wait_logged(&format!("event=following topic={topic}"))
+            .await;
+        // The test's own settings wait 300 ms; a topic waits a multiple of it.
+        let waits: u64 = line.split("wait_ms=").nth(1).unwrap()[..3].parse().unwrap();
+        assert_eq!(waits, 300, "{line}");
+        assert!(value("poll_wait_ms") * waits / 300 + value("timeout_ms") < DRAIN_MS);
+    }
+}
