Begin a request's time with its whole head

A refused request is also read to its end before its answer. The test of the head fails without the change.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -64,7 +64,7 @@
     pub service: String,
     pub team: Option<HeaderValue>,
     pub priority: u8,
-    /// When its first byte came.
+    /// When its head was whole.
     pub started: Millis,
     /// When the caller, or the operator for it, stops waiting.
     pub deadline: Millis,
@@ -112,18 +112,15 @@
     request: Request<Incoming>,
     started: Millis,
 ) -> Result<Job, Refusal> {
-    let catalog = gateway.catalog().ok_or(NOT_READY)?;
     let (head, body) = request.into_parts();
-    if head_bytes(&head) > catalog.limits.head_max_bytes {
-        return Err(HEAD_TOO_LONG);
-    }
-    let host = head.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
-    let route_index = route_index(&catalog, host, head.uri.path()).ok_or(NO_ROUTE)?;
+    let routed = route_head(gateway, &head);
+    // Read also where the head is refused: what would come of it later must not
+    // be taken for the beginning of the next request.
+    let limits = gateway.limits();
+    let body = read_body(body, limits.body_max_bytes).await?;
+    let (catalog, route_index) = routed?;
     let route = &catalog.routes[route_index];
     let team = team(&catalog, route, &head.headers)?;
-    let body = read_body(body, catalog.limits.body_max_bytes).await?;
 
     let names = &gateway.names;
     let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
@@ -165,6 +162,25 @@
     })
 }
 
+/// The configuration in force and the place of the request's route in it, if
+/// its head is one that may pass.
+fn route_head(
+    gateway: &Gateway,
+    head: &http::request::Parts,
+) -> Result<(Rc<Catalog>, usize), Refusal> {
+    let catalog = gateway.catalog().ok_or(NOT_READY)?;
+    if head_bytes(head) > catalog.limits.head_max_bytes {
+        return Err(HEAD_TOO_LONG);
+    }
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
+    let index = route_index(&catalog, host, head.uri.path()).ok_or(NO_ROUTE)?;
+    let route = &catalog.routes[index];
+    team(&catalog, route, &head.headers)?;
+    Ok((catalog, index))
+}
+
 fn route_index(catalog: &Catalog, host: &str, path: &str) -> Option<usize> {
     let found = catalog.route(host, path)?;
     catalog
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -74,13 +74,16 @@
         }
     }
 
-    /// Takes that a head is whole; returns when its first byte came.
+    /// Takes that a head is whole; returns when.
+    ///
+    /// A request's time begins here and not with its first byte: a caller may
+    /// send the beginning of a head long before it sends the request.
     pub fn request_started(&self) -> Millis {
         self.busy.set(true);
+        self.head_since.set(None);
         let open = &self.gateway.stats.requests_open;
         open.set(open.get() + 1);
-        let now = self.gateway.now();
-        self.head_since.take().unwrap_or(now)
+        self.gateway.now()
     }
 
     /// Takes that an answer was sent or given up.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -543,3 +543,38 @@
         assert!(value("poll_wait_ms") * waits / 300 + value("timeout_ms") < DRAIN_MS);
     }
 }
+
+/// Vam trouble-2, seed 864649730526: bytes that came 0.8 s before the rest of a
+/// head began its time, which was then over too early.
+#[tokio::test]
+async fn time_of_a_request_begins_with_its_whole_head() {
+    let (_site, endpoint, gateway) = plain(Act::Answer).await;
+    let mut stream = TcpStream::connect(gateway.callers).await.unwrap();
+    let text = request("GET", "/safe/", "r1", "x-deadline-ms: 1100\r\n", "");
+    let (begin, rest) = text.split_at(10);
+    stream.write_all(begin.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    stream.write_all(rest.as_bytes()).await.unwrap();
+    assert_eq!(read_reply(&mut stream).await.status, 200);
+    assert_eq!(endpoint.seen().len(), 1);
+}
+
+/// The body of a refused request must not be taken for the next one's head.
+#[tokio::test]
+async fn refused_request_is_read_to_its_end() {
+    let (_site, endpoint, gateway) = plain(Act::Answer).await;
+    let mut stream = TcpStream::connect(gateway.callers).await.unwrap();
+    let refused = request("POST", "/none/", "r1", "", &"b".repeat(900));
+    let (head, body) = refused.split_at(refused.len() - 900);
+    stream.write_all(head.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    stream.write_all(body.as_bytes()).await.unwrap();
+    assert_eq!(read_reply(&mut stream).await.status, 404);
+    tokio::time::sleep(Duration::from_millis(1_800)).await;
+    let next = request("GET", "/safe/", "r2", "x-deadline-ms: 2000\r\n", "");
+    stream.write_all(next.as_bytes()).await.unwrap();
+    assert_eq!(read_reply(&mut stream).await.status, 200);
+    let seen = endpoint.seen();
+    let left: u64 = seen[0].header("x-deadline-ms").unwrap().parse().unwrap();
+    assert!(left > 1_000, "{left} ms of 2,000 left");
+}
