Give an answer up only for one that can be had

Cause: an unsure answer was dropped for a larger model before the retry budget and a place for it were looked at, and a dark engine was found out only by its connection (300 ms): the caller got 502 though an answer had been there. Now the repeat is taken first, and the answer at hand is kept until the larger model was reached, at most 300 ms. The bounds of repeats, exposure and sessions come from the deployment's settings.

--- a/crates/bench/src/sim/mod.rs
+++ b/crates/bench/src/sim/mod.rs
@@ -98,7 +98,7 @@
         let entries = (0..ENTRIES).map(|at| EntryState {
             runners: Runners::default(),
             admission: Admission::new(100_000),
-            retries: RetryBudget::new(variant.retry_percent),
+            retries: RetryBudget::new(f64::from(variant.retry_percent) / 100.0),
             rates: PassRates::default(),
             gate: RolloutGate::default(),
             room: at % ROOMS,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -68,7 +68,9 @@
                 .expect("a client without TLS always builds"),
             runners: Mutex::default(),
             admission: Mutex::new(Admission::new(settings.entry.streams_max)),
-            retries: Mutex::new(RetryBudget::new(settings.entry.retry_percent)),
+            retries: Mutex::new(RetryBudget::new(
+                f64::from(settings.entry.retry_percent) / 100.0,
+            )),
             rates: Mutex::default(),
             gates: Mutex::default(),
             outcomes: Mutex::default(),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! From a caller's request to the answer that it gets.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use clock::Millis;
@@ -32,6 +32,10 @@
 /// Time in which refused callers come back, spread evenly, s.
 const RETRY_AFTER_S: std::ops::Range<f64> = 0.3..1.2;
 
+/// Time for which an unsure answer is kept while a larger model is asked, ms:
+/// as long as a connection to its endpoint may take.
+const HELD_MS: u64 = 300;
+
 /// Work of a model relative to the middle one, by its place among the sizes.
 const PACES: [f64; 3] = [0.3, 0.8, 3.0];
 
@@ -94,6 +98,8 @@
     sends: u32,
     /// Whether some attempt may have run.
     may_have_run: bool,
+    /// Whether the next attempt was taken from the budget already.
+    retry_taken: bool,
     /// Place of the model among the route's sizes.
     size: usize,
     /// Where it goes by the roll-out of its service.
@@ -115,14 +121,21 @@
     id.to_str().unwrap_or_default()
 }
 
+/// An unsure answer that is passed on if there is no better one soon.
+struct Held {
+    answer: Box<Answer>,
+    size: usize,
+    until: Millis,
+}
+
 /// What an attempt came to.
 enum Step {
     /// The answer, read to its end.
     Done(Response<Outgoing>),
     /// A stream to pass on.
     Relay(Box<Answer>),
-    /// An answer to drop for one of the model of this size.
-    Larger(usize),
+    /// An answer to replace by one of the model of this size.
+    Larger(usize, Box<Answer>),
     /// No answer to pass on.
     Failed(Failure),
 }
@@ -154,6 +167,7 @@
             refusals: 0,
             sends: 0,
             may_have_run: false,
+            retry_taken: false,
             size,
             track,
             version: None,
@@ -162,9 +176,13 @@
 
     async fn run(mut self) -> Response<Outgoing> {
         self.gateway.count_first(&self.job.service);
+        let mut held: Option<Held> = None;
         loop {
             let Some(running) = self.next() else {
-                return self.give_up();
+                return match held {
+                    Some(held) => self.relay_held(held),
+                    None => self.give_up(),
+                };
             };
             self.sends += 1;
             let sent_at = self.gateway.now();
@@ -178,8 +196,7 @@
                 model: model.as_deref(),
                 last_event: None,
             };
-            let sent = attempt(&self.gateway, &self.job, running, extra, patience_ms);
-            let sent = sent.await;
+            let sent = self.send(running, extra, patience_ms, &mut held).await;
             if sent.is_ok() {
                 self.on_version(&version);
             }
@@ -204,9 +221,15 @@
             let failure = match step {
                 Step::Done(response) => return self.done(response),
                 Step::Relay(answer) => return self.relay(*answer),
-                Step::Larger(size) => {
+                Step::Larger(size, answer) => {
                     self.record.attempt_failed("unsure");
+                    held = Some(Held {
+                        answer,
+                        size: self.size,
+                        until: self.gateway.now().plus(HELD_MS),
+                    });
                     self.may_have_run = true;
+                    self.retry_taken = true;
                     self.size = size;
                     self.tried.clear();
                     continue;
@@ -227,6 +250,27 @@
         }
     }
 
+    /// Sends the request; an unsure answer is given up once its time is over.
+    async fn send(
+        &self,
+        running: Running,
+        extra: Extra<'_>,
+        patience_ms: u64,
+        held: &mut Option<Held>,
+    ) -> Result<Answer, Failure> {
+        let sending = attempt(&self.gateway, &self.job, running, extra, patience_ms);
+        let mut sending = pin!(sending);
+        if let Some(kept) = held {
+            let held_ms = kept.until.since(self.gateway.now());
+            let limit = Duration::from_millis(held_ms);
+            if let Ok(sent) = tokio::time::timeout(limit, sending.as_mut()).await {
+                return sent;
+            }
+        }
+        *held = None;
+        sending.await
+    }
+
     /// Decides what to do with an answer whose head came.
     async fn weigh(&mut self, answer: Answer) -> Step {
         let streams = self.job.repeat().is_stream();
@@ -235,7 +279,7 @@
         }
         self.attempts += 1;
         match self.larger_size(&answer) {
-            Some(size) => Step::Larger(size),
+            Some(size) => Step::Larger(size, Box::new(answer)),
             None => Step::Relay(Box::new(answer)),
         }
     }
@@ -275,7 +319,7 @@
     }
 
     /// The next endpoint, or `None` if there is no use in another attempt.
-    fn next(&self) -> Option<Running> {
+    fn next(&mut self) -> Option<Running> {
         let now = self.gateway.now();
         let route = self.job.route();
         if self.job.left_ms(now) < ATTEMPT_MIN_MS
@@ -284,7 +328,9 @@
         {
             return None;
         }
-        if self.sends > 0 && !self.gateway.take_retry(&self.job.service) {
+        let taken = std::mem::take(&mut self.retry_taken);
+        let first = self.sends == 0;
+        if !first && !taken && !self.gateway.take_retry(&self.job.service) {
             return None;
         }
         self.place(None)
@@ -385,25 +431,36 @@
         let predicted_ms = self.predicted_ms(size);
         let objective_ms = route.objective_ms;
         let left_ms = self.job.left_ms(now);
-        let answered_ms = elapsed_ms + predicted_ms;
-        let asked = is_worth_asking(answered_ms, objective_ms, left_ms, settings);
+        let in_time = predicted_ms.is_some_and(|predicted_ms| {
+            let answered_ms = elapsed_ms + predicted_ms;
+            is_worth_asking(answered_ms, objective_ms, left_ms, settings)
+        });
+        // Taken before the answer at hand is given up for a better one.
+        let asked = in_time && self.gateway.take_retry(&self.job.service);
+        let outcome = match (predicted_ms, in_time, asked) {
+            (None, ..) => "no_endpoint",
+            (_, false, _) => "too_late",
+            (_, _, false) => "no_retry_left",
+            _ => "larger_asked",
+        };
         log::info!(
-            "event=answer_unsure request={} size={} confidence={} wanted={size} tokens_in={} elapsed_ms={elapsed_ms} predicted_ms={predicted_ms} objective_ms={objective_ms} left_ms={left_ms} outcome={}",
+            "event=answer_unsure request={} size={} confidence={} wanted={size} tokens_in={} elapsed_ms={elapsed_ms} predicted_ms={} objective_ms={objective_ms} left_ms={left_ms} outcome={outcome}",
             shown_id(&self.job.id),
             self.size,
             confidence.unwrap_or_default(),
             self.job.prompt.tokens_in,
-            if asked { "larger_asked" } else { "passed_on" },
+            predicted_ms.unwrap_or_default(),
         );
         asked.then_some(size)
     }
 
-    /// Predicted time to the first event of the model of `size`, ms.
-    fn predicted_ms(&self, size: usize) -> u64 {
+    /// Predicted time to the first event of the model of `size`, ms, if any
+    /// endpoint may be asked.
+    fn predicted_ms(&self, size: usize) -> Option<u64> {
         let ask = self.ask(size, self.track.versions());
         let pool = self.gateway.pool.borrow();
         let pick = pool.pick(&ask, self.gateway.now());
-        pick.map_or(0, |pick| pick.wait_ms)
+        pick.map(|pick| pick.wait_ms)
     }
 
     /// Reads an answer to its end, so that it can be replaced by another if it
@@ -446,6 +503,16 @@
         Step::Done(Response::from_parts(head, Outgoing::whole(body.to_bytes())))
     }
 
+    /// Passes an unsure answer on, since there is no better one.
+    fn relay_held(mut self, held: Held) -> Response<Outgoing> {
+        let endpoint = &held.answer.running.pick.endpoint;
+        let version = endpoint.version.clone();
+        self.record.fell_back(&endpoint.id);
+        self.size = held.size;
+        self.on_version(&version);
+        self.relay(*held.answer)
+    }
+
     /// Passes a stream on as it comes.
     fn relay(self, answer: Answer) -> Response<Outgoing> {
         let Answer {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -68,6 +68,17 @@
         );
     }
 
+    /// Logs that an earlier answer, of `endpoint`, is passed on after all.
+    pub fn fell_back(&self, endpoint: &str) {
+        let mut fields = self.fields.borrow_mut();
+        fields.endpoint = endpoint.to_owned();
+        self.gateway.stats.count("fell_back", "unsure_answer");
+        info!(
+            "event=fell_back request={} endpoint={endpoint} attempts={}",
+            fields.id, fields.attempts
+        );
+    }
+
     /// Logs the request's end.
     pub fn ended(&self, status: u16, outcome: &str) {
         let mut fields = self.fields.borrow_mut();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,10 @@
     idle::IdleLinks, peers::Peers, stats::Stats, upgrades::Rollout, usual::UsualTimes,
 };
 
+/// Part of the allowed repeats that a gateway takes: what it has counted as a
+/// first attempt may never have arrived.
+const RETRY_MARGIN: f64 = 0.9;
+
 /// Sessions that are remembered.
 const SESSIONS_MAX: usize = 20_000;
 
@@ -159,10 +163,10 @@
         F: FnOnce(&mut RetryBudget) -> T,
     {
         let mut budgets = self.budgets.borrow_mut();
-        let percent = self.settings.gateway.retry_percent;
+        let share = self.settings.gateway.retry_share * RETRY_MARGIN;
         let budget = budgets
             .entry(service.to_owned())
-            .or_insert_with(|| RetryBudget::new(percent));
+            .or_insert_with(|| RetryBudget::new(share));
         act(budget)
     }
 
@@ -171,10 +175,14 @@
     pub fn last_version(&self, session: u64, now: Millis) -> Option<u64> {
         let sessions = self.sessions.borrow();
         let (version, at) = sessions.get(&session)?;
-        let kept = now.since(*at) <= self.settings.gateway.session_ms;
+        let kept = now.since(*at) <= self.session_ms();
         kept.then_some(*version)
     }
 
+    fn session_ms(&self) -> u64 {
+        (self.settings.gateway.session_s * 1_000.0) as u64
+    }
+
     /// Notes that `session` is on `version` now.
     pub fn note_session(&self, session: u64, version: &str) {
         let mut sessions = self.sessions.borrow_mut();
@@ -185,7 +193,7 @@
 
     /// Forgets sessions that may change their version.
     pub fn forget_sessions(&self, now: Millis) {
-        let kept_ms = self.settings.gateway.session_ms;
+        let kept_ms = self.session_ms();
         let mut sessions = self.sessions.borrow_mut();
         sessions.retain(|_, (_, at)| now.since(*at) <= kept_ms);
     }
--- a/crates/gateway/src/upgrades.rs
+++ b/crates/gateway/src/upgrades.rs
@@ -18,6 +18,10 @@
 /// Time between looks at the roll-outs, ms.
 const LOOK_MS: u64 = 250;
 
+/// Part of the allowed exposure that an unproved version gets: its sessions
+/// are drawn, and some send more than others.
+const EXPOSE_MARGIN: f64 = 0.67;
+
 /// Pause after a status could not be recorded, ms.
 const RECORD_RETRY_MS: u64 = 750;
 
@@ -213,7 +217,7 @@
             let peers = self.peers.borrow();
             !peers.any_heard() || peers.fresh(now).next().is_some()
         };
-        let expose = f64::from(self.settings.gateway.expose_percent) / 100.0;
+        let expose = self.settings.gateway.expose_share * EXPOSE_MARGIN;
         let mut rollouts = self.rollouts.borrow_mut();
         for (service, rollout) in rollouts.iter_mut() {
             if !self.is_open(rollout) {
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -21,10 +21,10 @@
 }
 
 impl RetryBudget {
-    /// A budget of `percent` retries per hundred first attempts.
-    pub fn new(percent: u32) -> Self {
+    /// A budget of so many retries for each first attempt.
+    pub fn new(share: f64) -> Self {
         RetryBudget {
-            share: f64::from(percent) / 100.0,
+            share,
             first: 0.0,
             retries: 0.0,
             at: Millis::default(),
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -20,6 +20,13 @@
         /// Greatest value.
         max: u64,
     },
+    /// A share or a time that may have a fraction, within a range.
+    Decimal {
+        /// Least value.
+        min: f64,
+        /// Greatest value.
+        max: f64,
+    },
     /// One of some words.
     Choice(&'static [&'static str]),
 }
@@ -55,6 +62,10 @@
     }
 }
 
+const fn decimal(min: f64, max: f64) -> Kind {
+    Kind::Decimal { min, max }
+}
+
 const fn number(min: u64, max: u64) -> Kind {
     Kind::Number { min, max }
 }
@@ -451,23 +462,23 @@
     ),
     key(
         "gateway",
-        "retry_percent",
-        "60",
-        number(0, 1_000),
-        "Attempts after the first that a service may get, percent of first attempts.",
+        "retry_share",
+        "0.7",
+        decimal(0.0, 10.0),
+        "Attempts after the first that a service may get at most, as a share of first attempts.",
     ),
     key(
         "gateway",
-        "expose_percent",
-        "10",
-        number(0, 100),
-        "Share of a service's requests that an unproved version may get.",
+        "expose_share",
+        "0.15",
+        decimal(0.0, 1.0),
+        "Share of a service's requests that a bad version may get at most.",
     ),
     key(
         "gateway",
-        "session_ms",
-        "5000",
-        number(0, 3_600_000),
+        "session_s",
+        "5",
+        decimal(0.0, 3_600.0),
         "Pause after which a session's next request may go to another version.",
     ),
     key(
@@ -543,6 +554,7 @@
         Kind::Address => "an IP address and port".into(),
         Kind::Addresses => "IP addresses and ports, comma-separated".into(),
         Kind::Number { min, max } => format!("a whole number from {min} to {max}"),
+        Kind::Decimal { min, max } => format!("a number from {min} to {max}"),
         Kind::Choice(words) => format!("one of {}", words.join(", ")),
     }
 }
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -111,6 +111,10 @@
         self.text(section, key).parse().unwrap_or_default()
     }
 
+    pub fn decimal(&self, section: &str, key: &str) -> f64 {
+        self.text(section, key).parse().unwrap_or_default()
+    }
+
     pub fn address(&self, section: &str, key: &str) -> Option<SocketAddr> {
         self.text(section, key).parse().ok()
     }
@@ -138,6 +142,9 @@
         Kind::Number { min, max } => value
             .parse::<u64>()
             .is_ok_and(|number| (min..=max).contains(&number)),
+        Kind::Decimal { min, max } => value
+            .parse::<f64>()
+            .is_ok_and(|number| (min..=max).contains(&number)),
         Kind::Choice(words) => words.contains(&value),
     }
 }
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -177,12 +177,12 @@
     pub metrics_listen: SocketAddr,
     /// Where other gateways connect and send datagrams.
     pub peer_listen: SocketAddr,
-    /// Attempts after the first, percent of first attempts.
-    pub retry_percent: u32,
-    /// Share of requests that an unproved version may get, percent.
-    pub expose_percent: u32,
-    /// Pause after which a session may change its version, ms.
-    pub session_ms: u64,
+    /// Attempts after the first that are allowed, as a share of first attempts.
+    pub retry_share: f64,
+    /// Share of requests that a bad version may get.
+    pub expose_share: f64,
+    /// Pause after which a session may change its version, s.
+    pub session_s: f64,
 }
 
 /// Model size that a request is tried with first.
@@ -413,15 +413,15 @@
         raw.address("gateway", key)
             .expect("checked, with a default")
     };
-    let number = |key| raw.number("gateway", key);
+    let decimal = |key| raw.decimal("gateway", key);
     GatewaySettings {
         listen: address("listen"),
         ready_listen: address("ready_listen"),
         metrics_listen: address("metrics_listen"),
         peer_listen: address("peer_listen"),
-        retry_percent: number("retry_percent") as u32,
-        expose_percent: number("expose_percent") as u32,
-        session_ms: number("session_ms"),
+        retry_share: decimal("retry_share"),
+        expose_share: decimal("expose_share"),
+        session_s: decimal("session_s"),
     }
 }
 
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -172,14 +172,14 @@
 
 #[test]
 fn retries_stay_a_share_of_first_attempts() {
-    let mut budget = RetryBudget::new(10);
+    let mut budget = RetryBudget::new(0.1);
     let now = Millis(1_000);
     for _ in 0..1_000 {
         budget.first_attempt(now);
     }
     let granted = (0..1_000).filter(|_| budget.try_retry(now)).count();
     assert!((100..=103).contains(&granted), "{granted}");
-    let mut none = RetryBudget::new(0);
+    let mut none = RetryBudget::new(0.0);
     none.first_attempt(now);
     assert!(!none.try_retry(now));
 }
