--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use catalog::Repeat;
 use clock::Millis;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
@@ -406,7 +407,12 @@
         if !self.job.repeat().may_repeat() || !more {
             return all_ms;
         }
-        route.objective_ms.max(1).min(all_ms)
+        let patience_ms = match self.job.repeat() {
+            // Another endpoint can still answer it within the objective.
+            Repeat::Idempotent => route.objective_ms / 2,
+            _ => route.objective_ms,
+        };
+        patience_ms.max(1).min(all_ms)
     }
 
     /// The size to ask instead of passing `answer` on, if any.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -115,6 +115,7 @@
     request: Request<Incoming>,
     started: Millis,
 ) -> Result<Job, Refusal> {
+    gateway.first_beliefs().await;
     let (head, body) = request.into_parts();
     let routed = route_head(gateway, &head);
     // Read also where the head is refused: what would come of it later must not
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -24,6 +25,12 @@
 /// first attempt may never have arrived.
 const RETRY_MARGIN: f64 = 0.9;
 
+/// Longest wait of a request for the first configuration and endpoints, ms.
+const FIRST_BELIEFS_MS: u64 = 100;
+
+/// Time between looks for them, ms.
+const BELIEFS_LOOK_MS: u64 = 5;
+
 /// Sessions that are remembered.
 const SESSIONS_MAX: usize = 20_000;
 
@@ -122,6 +129,26 @@
         catalog.as_ref().map_or_else(Limits::default, |c| c.limits)
     }
 
+    /// Waits, for a moment, until a process that has just started knows a
+    /// configuration and endpoints: both are a few calls to the log away, and a
+    /// caller that is turned away comes back only after many times that.
+    pub async fn first_beliefs(&self) {
+        let unknown =
+            || self.catalog.borrow().is_none() || self.pool.borrow().is_empty();
+        if !unknown() {
+            return;
+        }
+        let limit = Duration::from_millis(FIRST_BELIEFS_MS);
+        let known = async {
+            while unknown() {
+                tokio::time::sleep(Duration::from_millis(BELIEFS_LOOK_MS)).await;
+            }
+        };
+        if tokio::time::timeout(limit, known).await.is_err() {
+            self.stats.count("first_beliefs", "missing");
+        }
+    }
+
     /// Decodes a configuration and puts it in force unless a newer one is.
     pub fn install(&self, record: &Bytes, source: &str) {
         let catalog = match platform::decode_catalog(record) {
