Test the news between gateways and the answer that is kept

Engine figures (prefill, paces) are settings now, so are the wait for the first configuration and its bounds.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -37,9 +37,6 @@
 /// as long as a connection to its endpoint may take.
 const HELD_MS: u64 = 300;
 
-/// Work of a model relative to the middle one, by its place among the sizes.
-const PACES: [f64; 3] = [0.3, 0.8, 3.0];
-
 /// Serves one request.
 pub(crate) async fn handle(
     gateway: &Rc<Gateway>,
@@ -395,7 +392,8 @@
         if !self.job.any_model {
             return 1.0;
         }
-        PACES[size.min(PACES.len() - 1)]
+        let sizes = self.job.route().model_sizes.len();
+        self.gateway.sizes.pace(size, sizes)
     }
 
     /// How long to wait for the head of an answer, ms.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,7 +32,7 @@
 };
 
 pub use events::EventCutter;
-pub use peers::{UpgradeWord, Word, decode};
+pub use peers::{Datagram, News, UpgradeWord, Word, decode};
 use state::Gateway;
 
 /// Where a gateway listens.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,9 +25,6 @@
 /// first attempt may never have arrived.
 const RETRY_MARGIN: f64 = 0.9;
 
-/// Longest wait of a request for the first configuration and endpoints, ms.
-const FIRST_BELIEFS_MS: u64 = 100;
-
 /// Time between looks for them, ms.
 const BELIEFS_LOOK_MS: u64 = 5;
 
@@ -76,6 +73,7 @@
         let peers = Peers::new(own, &settings.process.peers);
         let place = settings.place;
         let sizes = SizeSettings {
+            paces: [place.pace_smallest, place.pace_middle, place.pace_largest],
             first: match place.first_model {
                 FirstModel::Smallest => FirstSize::Smallest,
                 FirstModel::Middle => FirstSize::Middle,
@@ -86,6 +84,7 @@
             ..SizeSettings::default()
         };
         let pool = Pool::new(Costs {
+            prefill_tokens_per_ms: place.prefill_tokens_per_ms,
             running_ms: f64::from(place.running_us) / 1_000.0,
             read_weight: f64::from(place.read_weight_percent) / 100.0,
         });
@@ -138,7 +137,7 @@
         if !unknown() {
             return;
         }
-        let limit = Duration::from_millis(FIRST_BELIEFS_MS);
+        let limit = Duration::from_millis(self.settings.gateway.start_wait_ms);
         let known = async {
             while unknown() {
                 tokio::time::sleep(Duration::from_millis(BELIEFS_LOOK_MS)).await;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -14,9 +14,6 @@
 
 use crate::health::{Health, Verdict};
 
-/// Prompt tokens that an engine reads in one ms.
-const PREFILL_TOKENS_PER_MS: f64 = 60.0;
-
 /// Time that a plain service takes for a request, ms.
 const PLAIN_WORK_MS: f64 = 20.0;
 
@@ -40,6 +37,8 @@
 /// What waits weigh.
 #[derive(Clone, Copy, Debug)]
 pub struct Costs {
+    /// Prompt tokens that an engine reads in one ms at pace 1.
+    pub prefill_tokens_per_ms: f64,
     /// Delay that one running request adds for a new one, ms.
     pub running_ms: f64,
     /// What a ms of reading weighs besides the request's own wait: it delays
@@ -50,12 +49,20 @@
 impl Default for Costs {
     fn default() -> Self {
         Costs {
+            prefill_tokens_per_ms: 60.0,
             running_ms: 6.0,
             read_weight: 4.0,
         }
     }
 }
 
+impl Costs {
+    /// Time in which an engine reads so many tokens, ms.
+    fn read_ms(&self, ask: &Ask<'_>, tokens: u32) -> f64 {
+        f64::from(tokens) * ask.pace / self.prefill_tokens_per_ms
+    }
+}
+
 /// What a request asks of an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Ask<'a> {
@@ -471,7 +478,7 @@
         } else {
             running * costs.running_ms
         };
-        let wait = reading / PREFILL_TOKENS_PER_MS + crowding;
+        let wait = reading / costs.prefill_tokens_per_ms + crowding;
         wait + if far { FAR_MS } else { 0.0 }
     }
 
@@ -484,7 +491,8 @@
         now: Millis,
     ) -> f64 {
         let wait = self.wait_ms(costs, ask, uncached);
-        wait + read_ms(ask, uncached) * costs.read_weight + self.health.handicap_ms(now)
+        let read_ms = costs.read_ms(ask, uncached);
+        wait + read_ms * costs.read_weight + self.health.handicap_ms(now)
     }
 
     /// Orders endpoints for a subject in the same way at every gateway.
@@ -494,11 +502,6 @@
     }
 }
 
-/// Time in which an engine reads so many tokens, ms.
-fn read_ms(ask: &Ask<'_>, tokens: u32) -> f64 {
-    f64::from(tokens) * ask.pace / PREFILL_TOKENS_PER_MS
-}
-
 /// All parts but the last, which is the request's own.
 fn shared_parts(parts: &[(u64, u32)]) -> &[(u64, u32)] {
     &parts[..parts.len().saturating_sub(1)]
--- a/crates/route/src/size.rs
+++ b/crates/route/src/size.rs
@@ -32,6 +32,9 @@
 /// What decides which model is asked, and whether another is after it.
 #[derive(Clone, Copy, Debug)]
 pub struct SizeSettings {
+    /// Work of the smallest model, of those in between and of the largest,
+    /// relative to a model of pace 1.
+    pub paces: [f64; 3],
     /// Model of the first attempt.
     pub first: FirstSize,
     /// Confidence from which an answer is passed on, 0 to 100.
@@ -46,6 +49,7 @@
 impl Default for SizeSettings {
     fn default() -> Self {
         SizeSettings {
+            paces: [1.0; 3],
             first: FirstSize::default(),
             confidence_min: 50,
             late: 1.0,
@@ -54,6 +58,20 @@
     }
 }
 
+impl SizeSettings {
+    /// Work of the model `size` of so many, relative to a model of pace 1.
+    pub fn pace(&self, size: usize, sizes: usize) -> f64 {
+        let [smallest, middle, largest] = self.paces;
+        if size + 1 >= sizes {
+            largest
+        } else if size == 0 {
+            smallest
+        } else {
+            middle
+        }
+    }
+}
+
 /// Confidence by which a little unsure answer may miss what is asked for.
 const LITTLE_UNSURE: u8 = 12;
 
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -481,6 +481,13 @@
         decimal(0.0, 3_600.0),
         "Pause after which a session's next request may go to another version.",
     ),
+    key(
+        "gateway",
+        "start_wait_ms",
+        "100",
+        number(0, 60_000),
+        "Longest wait of a request for the first configuration of a process that has just started.",
+    ),
     key(
         "place",
         "read_weight_percent",
@@ -495,6 +502,34 @@
         number(0, 1_000_000),
         "Delay that one running request adds for a new one.",
     ),
+    key(
+        "place",
+        "prefill_tokens_per_ms",
+        "60",
+        decimal(0.1, 100_000.0),
+        "Prompt tokens that an engine reads in a ms with a model of pace 1.",
+    ),
+    key(
+        "place",
+        "pace_smallest",
+        "0.3",
+        decimal(0.001, 1_000.0),
+        "Work of the smallest model of a route relative to a model of pace 1.",
+    ),
+    key(
+        "place",
+        "pace_middle",
+        "0.8",
+        decimal(0.001, 1_000.0),
+        "Work of the models in between.",
+    ),
+    key(
+        "place",
+        "pace_largest",
+        "3",
+        decimal(0.001, 1_000.0),
+        "Work of the largest model.",
+    ),
     key(
         "place",
         "confidence_min",
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -183,6 +183,8 @@
     pub expose_share: f64,
     /// Pause after which a session may change its version, s.
     pub session_s: f64,
+    /// Longest wait for the first configuration, ms.
+    pub start_wait_ms: u64,
 }
 
 /// Model size that a request is tried with first.
@@ -204,6 +206,14 @@
     pub read_weight_percent: u32,
     /// Delay that one running request adds for a new one, us.
     pub running_us: u32,
+    /// Prompt tokens that an engine reads in a ms at pace 1.
+    pub prefill_tokens_per_ms: f64,
+    /// Work of the smallest model relative to one of pace 1.
+    pub pace_smallest: f64,
+    /// Work of the models in between.
+    pub pace_middle: f64,
+    /// Work of the largest model.
+    pub pace_largest: f64,
     /// Confidence from which a smaller model's answer is passed on.
     pub confidence_min: u8,
     /// Model size that a request is tried with first.
@@ -422,14 +432,20 @@
         retry_share: decimal("retry_share"),
         expose_share: decimal("expose_share"),
         session_s: decimal("session_s"),
+        start_wait_ms: raw.number("gateway", "start_wait_ms"),
     }
 }
 
 fn build_place(raw: &Raw) -> PlaceSettings {
     let number = |key| raw.number("place", key);
+    let decimal = |key| raw.decimal("place", key);
     PlaceSettings {
         read_weight_percent: number("read_weight_percent") as u32,
         running_us: number("running_us") as u32,
+        prefill_tokens_per_ms: decimal("prefill_tokens_per_ms"),
+        pace_smallest: decimal("pace_smallest"),
+        pace_middle: decimal("pace_middle"),
+        pace_largest: decimal("pace_largest"),
         confidence_min: number("confidence_min") as u8,
         first_model: match raw.text("place", "first_model") {
             "middle" => FirstModel::Middle,
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -1,6 +1,6 @@
 //! Streams are cut into whole events, and datagrams taken within bounds.
 
-use gateway::{EventCutter, UpgradeWord, Word, decode};
+use gateway::{Datagram, EventCutter, News, UpgradeWord, Word, decode};
 use proptest::prelude::*;
 use route::Evidence;
 
@@ -40,8 +40,13 @@
     fn any_datagram_is_a_word_within_bounds_or_none(
         bytes in proptest::collection::vec(any::<u8>(), 0..1_400),
     ) {
-        if let Some(word) = decode(&bytes) {
-            prop_assert!(word.peers.len() <= 16 && word.upgrades.len() <= 2);
+        match decode(&bytes) {
+            Some(Datagram::Word(word)) => {
+                prop_assert!(word.peers.len() <= 16 && word.upgrades.len() <= 2);
+                prop_assert!(word.running.len() <= 48);
+            }
+            Some(Datagram::News(news)) => prop_assert!(news.sent.len() <= 32),
+            None => {}
         }
     }
 }
@@ -69,7 +74,22 @@
         }],
         ..Word::default()
     };
-    let bytes = |word: &Word| postcard::to_stdvec(word).unwrap();
+    let word = |new_bad| Datagram::Word(word(new_bad));
+    let bytes = |word: &Datagram| postcard::to_stdvec(word).unwrap();
     assert_eq!(decode(&bytes(&word(9))), Some(word(9)));
     assert_eq!(decode(&bytes(&word(u64::MAX))), None);
 }
+
+#[test]
+fn news_of_absurd_requests_is_none() {
+    let news = |count, tokens| {
+        Datagram::News(News {
+            born_ms: 1,
+            sent: vec![(1, 2, tokens); count],
+        })
+    };
+    let bytes = |news: &Datagram| postcard::to_stdvec(news).unwrap();
+    assert_eq!(decode(&bytes(&news(32, 9))), Some(news(32, 9)));
+    assert_eq!(decode(&bytes(&news(33, 9))), None);
+    assert_eq!(decode(&bytes(&news(1, u32::MAX))), None);
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -291,6 +291,54 @@
     );
 }
 
+#[tokio::test]
+async fn unsure_answer_is_passed_on_where_a_larger_model_cannot_be_had() {
+    let site = Site::start().await;
+    let engine = WireEndpoint::start(Act::Vanish).await;
+    engine.queue(&[Act::Confident(2, 20)]);
+    site.announce("e1", "engine", &engine);
+    let gateway = site.gateway("").await;
+    let draft = request("POST", "/draft/", "r1", DRAFT, "x");
+    let reply = ask(gateway.callers, &draft).await;
+    assert!(reply.is_whole(), "{reply:?}");
+    let seen = engine.seen();
+    let models: Vec<_> = seen.iter().filter_map(|s| s.header("x-model")).collect();
+    assert_eq!(models, ["m0", "m2"]);
+    gateway.wait_logged("event=fell_back request=r1").await;
+}
+
+#[tokio::test]
+async fn unsure_answer_is_passed_on_where_no_repeat_is_left() {
+    let site = Site::start().await;
+    let engine = WireEndpoint::start(Act::Confident(2, 20)).await;
+    site.announce("e1", "engine", &engine);
+    let gateway = site.gateway("retry_share = 0\n").await;
+    let draft = request("POST", "/draft/", "r1", DRAFT, "x");
+    let reply = ask(gateway.callers, &draft).await;
+    assert!(reply.is_whole(), "{reply:?}");
+    assert_eq!(engine.seen().len(), 1);
+    gateway.wait_logged("outcome=no_retry_left").await;
+}
+
+#[tokio::test]
+async fn request_that_comes_with_the_start_waits_for_the_first_configuration() {
+    let site = Site::start().await;
+    let endpoint = WireEndpoint::start(Act::Answer).await;
+    site.announce("p1", "plain", &endpoint);
+    site.log.set_faults(KeyedFaults {
+        down: true,
+        ..KeyedFaults::default()
+    });
+    let settings = "start_wait_ms = 20000\n";
+    let gateway = GatewayProcess::start(&site.dir, site.log.address, settings);
+    let callers = gateway.callers;
+    let early = tokio::spawn(async move {
+        ask(callers, &request("GET", "/safe/", "r1", "", "")).await
+    });
+    site.log.set_faults(KeyedFaults::default());
+    assert_eq!(early.await.unwrap().status, 200);
+}
+
 #[tokio::test]
 async fn configuration_takes_hold_and_never_reverts() {
     let (site, _endpoint, gateway) = plain(Act::Answer).await;
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -1,12 +1,12 @@
 //! Where a gateway sends requests, with scripted time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use catalog::{Endpoint, EndpointState};
 use clock::Millis;
 use route::{
-    Ask, Costs, Health, Pool, SizeSettings, Verdict, digest_text, is_worth_asking,
-    prompt_digests, wanted_size,
+    Ask, Costs, Health, Hearing, Pool, SizeSettings, Verdict, digest_text,
+    is_worth_asking, prompt_digests, wanted_size,
 };
 
 fn endpoint(id: &str) -> Endpoint {
@@ -49,6 +49,7 @@
     const SUBJECTS: u64 = 40;
     let mut gateways = [pool(9, costs), pool(9, costs)];
     let mut homes: HashMap<u64, Vec<String>> = HashMap::new();
+    let mut reading = VecDeque::new();
     for turn in 0..800_u64 {
         let now = Millis(10_000 + turn * 20);
         let subject = (turn * 7) % SUBJECTS;
@@ -61,10 +62,15 @@
         if !ids.contains(&pick.endpoint.id) {
             ids.push(pick.endpoint.id.clone());
         }
-        // Each request is read at once and runs for 30 turns.
-        pool.read(&pick.endpoint.id, pick.uncached_tokens, 1.0);
-        if turn % 3 != 0 {
-            pool.ended(&pick.endpoint.id);
+        // Each request is read within 24 turns; two in three end with that.
+        reading.push_back((turn, pick));
+        if reading.len() > 24 {
+            let (turn, pick) = reading.pop_front().unwrap();
+            let pool = &mut gateways[(turn % 2) as usize];
+            pool.read(&pick.endpoint.id, pick.uncached_tokens, 1.0);
+            if turn % 3 != 0 {
+                pool.ended(&pick.endpoint.id);
+            }
         }
     }
     let all: usize = homes.values().map(Vec::len).sum();
@@ -230,3 +236,71 @@
         "no time is left"
     );
 }
+
+/// Five gateways each place a long prompt of another subject within the time
+/// between two words; how many went to the engine that got most.
+fn crowding(tell: bool) -> usize {
+    let mut gateways: Vec<Pool> = (0..5).map(|_| pool(9, Costs::default())).collect();
+    let now = Millis(10_000);
+    // All but one engine are busy, as every gateway knows.
+    let busy = (1..9).map(|at| (digest_text(&format!("e{at}")), (20, 40_000)));
+    let busy: HashMap<_, _> = busy.collect();
+    for gateway in &mut gateways {
+        gateway.set_hearing(Hearing::All);
+        gateway.set_elsewhere(&busy);
+    }
+    let mut sent_to: HashMap<String, usize> = HashMap::new();
+    for turn in 0..10_u64 {
+        let parts = prompt_digests([(turn, 13_000), (1_000 + turn, 3_000)]);
+        let ask = ask(&parts, 16_000);
+        let from = (turn % 5) as usize;
+        let pick = gateways[from].pick(&ask, now).unwrap();
+        let id = pick.endpoint.id;
+        let sent = gateways[from].sent(&id, &ask, pick.uncached_tokens, now);
+        *sent_to.entry(id).or_default() += 1;
+        let others = gateways.iter_mut().enumerate();
+        for (_, other) in others.filter(|(at, _)| tell && *at != from) {
+            other.sent_elsewhere(&sent.unwrap(), now);
+        }
+    }
+    sent_to.into_values().max().unwrap()
+}
+
+#[test]
+fn gateways_that_tell_what_they_sent_do_not_crowd_the_idle_engine() {
+    let told = crowding(true);
+    let untold = crowding(false);
+    assert!(told * 2 <= untold, "told {told}, untold {untold}");
+}
+
+#[test]
+fn parts_that_another_gateway_sent_are_known_to_be_there() {
+    let mut own = pool(3, Costs::default());
+    let mut other = pool(3, Costs::default());
+    own.set_hearing(Hearing::All);
+    let now = Millis(10_000);
+    let parts = prompt_digests([(1, 8_000), (2, 5_000), (3, 3_000)]);
+    let ask = ask(&parts, 16_000);
+    assert_eq!(own.pick(&ask, now).unwrap().uncached_tokens, 16_000);
+    let sent = other.sent("e1", &ask, 16_000, now).unwrap();
+    own.sent_elsewhere(&sent, now);
+    let idle = Millis(10_500);
+    own.set_elsewhere(&HashMap::new());
+    let pick = own.pick(&ask, idle).unwrap();
+    assert_eq!(pick.endpoint.id, "e1");
+    assert_eq!(pick.uncached_tokens, 3_000);
+}
+
+#[test]
+fn only_where_all_are_heard_is_nothing_hoped_for() {
+    let parts = prompt_digests([(1, 10_000), (2, 1_000)]);
+    let ask = ask(&parts, 11_000);
+    let now = Millis(10_000);
+    let mut pool = pool(3, Costs::default());
+    let hoped = pool.pick(&ask, now).unwrap();
+    assert!(hoped.uncached_tokens < 11_000);
+    pool.set_hearing(Hearing::All);
+    let known = pool.pick(&ask, now).unwrap();
+    assert_eq!(known.uncached_tokens, 11_000);
+    assert_eq!(known.endpoint.id, hoped.endpoint.id);
+}
