Let gateways that no setting names hear each other; tell sessions under way

Gateways now tell all peers of the sessions that a roll-out would draw, also before one is ordered. 2. The trace showed that front-bxl-a-2 and front-bxl-b-2 never heard each other: a peer that was only told of was forgotten before it got a first word, so that gateways beyond those in the settings knew nothing of each other, on every deployment so far. gateways_that_only_a_third_one_names_hear_each_other failed first (no peer_heard in 20 s) and passes now.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -110,7 +110,8 @@
     /// A session keeps its version for some time from its request's end on.
     fn drop(&mut self) {
         if let (Some(session), Some(version)) = (self.job.session, &self.version) {
-            self.gateway.note_session(session, version);
+            self.gateway
+                .note_session(&self.job.service, session, version);
         }
     }
 }
@@ -201,9 +202,12 @@
             let head_ms = self.gateway.now().since(sent_at);
             self.see(&version, &sent, head_ms);
             log::debug!(
-                "event=attempt_head request={} endpoint={id} route={} tokens_in={} model={} uncached={} running={} elsewhere={} predicted_ms={} head_ms={head_ms} good={}",
+                "event=attempt_head request={} endpoint={id} route={} session={} version={version} tokens_in={} model={} uncached={} running={} elsewhere={} predicted_ms={} head_ms={head_ms} good={}",
                 shown_id(&self.job.id),
                 self.job.route().name,
+                self.job
+                    .session
+                    .map_or("-".into(), |session| format!("{session:x}")),
                 self.job.prompt.tokens_in,
                 self.size,
                 pick.uncached_tokens,
@@ -297,7 +301,8 @@
     fn on_version(&mut self, version: &str) {
         self.version = Some(version.to_owned());
         if let Some(session) = self.job.session {
-            self.gateway.note_session(session, version);
+            self.gateway
+                .note_session(&self.job.service, session, version);
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -103,6 +103,8 @@
     pub born_ms: u64,
     /// Endpoint, parts and tokens of each, as in [`Sent`].
     pub sent: Vec<(u64, u64, u32)>,
+    /// Digests of sessions, and of the versions that these are on.
+    pub sessions: Vec<(u64, u64)>,
 }
 
 /// What a gateway knows and does.
@@ -128,7 +130,10 @@
 #[derive(Debug)]
 struct Peer {
     named: bool,
+    /// When it was heard last.
     heard: Option<Millis>,
+    /// When it became known, by its own word or another peer's.
+    known: Millis,
     word: Word,
 }
 
@@ -137,8 +142,10 @@
 pub(crate) struct Peers {
     own: Option<SocketAddr>,
     rows: BTreeMap<SocketAddr, Peer>,
-    /// What the peers are to hear at once.
+    /// What some peers are to hear at once.
     news: Vec<Sent>,
+    /// Sessions that all peers are to hear of at once.
+    sessions: Vec<(u64, u64)>,
 }
 
 impl Peers {
@@ -149,12 +156,12 @@
             ..Peers::default()
         };
         for address in named {
-            peers.add(*address, true);
+            peers.add(*address, true, Millis::default());
         }
         peers
     }
 
-    fn add(&mut self, address: SocketAddr, named: bool) {
+    fn add(&mut self, address: SocketAddr, named: bool, now: Millis) {
         let is_own = self.own == Some(address);
         let fits = named || self.rows.len() < PEERS_MAX;
         if is_own || !fits || self.rows.contains_key(&address) {
@@ -163,6 +170,7 @@
         let peer = Peer {
             named,
             heard: None,
+            known: now,
             word: Word::default(),
         };
         self.rows.insert(address, peer);
@@ -171,11 +179,11 @@
     /// Takes a word; returns whether its sender was not heard before or for
     /// long.
     pub fn take(&mut self, from: SocketAddr, word: Word, now: Millis) -> bool {
-        self.add(from, false);
+        self.add(from, false, now);
         for address in word.peers.iter().take(TOLD_PEERS_MAX) {
             // All gateways listen on the same port.
             if address.port() == from.port() {
-                self.add(*address, false);
+                self.add(*address, false, now);
             }
         }
         let Some(peer) = self.rows.get_mut(&from) else {
@@ -198,6 +206,13 @@
         }
     }
 
+    /// Takes that a session is on a version, to be told to the peers.
+    pub fn note_session(&mut self, session: u64, version: u64) {
+        if self.sessions.len() < SENT_MAX {
+            self.sessions.push((session, version));
+        }
+    }
+
     /// Takes what a peer sent; returns whether its sender is known.
     fn take_news(&mut self, from: SocketAddr, news: &News) -> bool {
         let Some(peer) = self.rows.get_mut(&from) else {
@@ -214,8 +229,10 @@
 
     /// Forgets who is silent for long; returns who has just become silent.
     pub fn expire(&mut self, now: Millis) -> Vec<SocketAddr> {
+        // One that was only told of has to get a word before it can answer.
         self.rows.retain(|_, peer| {
-            peer.named || peer.heard.is_some_and(|at| now.since(at) < FORGET_MS)
+            let last = peer.heard.unwrap_or(peer.known);
+            peer.named || now.since(last) < FORGET_MS
         });
         let silent = self.rows.iter().filter(|(_, peer)| {
             peer.heard.is_some_and(|at| {
@@ -337,7 +354,9 @@
         Datagram::Word(word) => word.is_sane(),
         Datagram::News(news) => {
             let mut tokens = news.sent.iter().map(|(_, _, tokens)| *tokens);
-            news.sent.len() <= SENT_MAX && tokens.all(|tokens| tokens <= TOKENS_MAX)
+            news.sent.len() <= SENT_MAX
+                && news.sessions.len() <= SENT_MAX
+                && tokens.all(|tokens| tokens <= TOKENS_MAX)
         }
     };
     sane.then_some(datagram)
@@ -387,6 +406,9 @@
             if !gateway.peers.borrow_mut().take_news(from, &news) {
                 return;
             }
+            for (session, version) in news.sessions {
+                gateway.hold_session(session, version);
+            }
             let mut pool = gateway.pool.borrow_mut();
             for (endpoint, parts, tokens) in news.sent {
                 let sent = Sent {
@@ -403,18 +425,24 @@
 
 /// Tells what was sent since the last time.
 async fn tell_news(gateway: &Gateway, socket: &UdpSocket, born_ms: u64) {
-    let (sent, receivers) = {
+    let (sent, sessions, receivers) = {
         let mut peers = gateway.peers.borrow_mut();
         let sent = std::mem::take(&mut peers.news);
-        (sent, peers.receivers())
+        let sessions = std::mem::take(&mut peers.sessions);
+        let receivers = match sessions.is_empty() {
+            true => peers.receivers(),
+            false => peers.rows.keys().copied().collect(),
+        };
+        (sent, sessions, receivers)
     };
-    if sent.is_empty() {
+    if sent.is_empty() && sessions.is_empty() {
         return;
     }
     let sent = sent.iter().map(|s| (s.endpoint, s.parts, s.tokens));
     let news = News {
         born_ms,
         sent: sent.collect(),
+        sessions,
     };
     send(gateway, socket, &Datagram::News(news), receivers).await;
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -209,11 +209,21 @@
         (self.settings.gateway.session_s * 1_000.0) as u64
     }
 
-    /// Notes that `session` is on `version` now.
-    pub fn note_session(&self, session: u64, version: &str) {
+    /// Notes that `session` is on `version` of `service` now.
+    pub fn note_session(&self, service: &str, session: u64, version: &str) {
+        let version = digest_text(version);
+        self.hold_session(session, version);
+        if self.is_told(service, session) {
+            self.peers.borrow_mut().note_session(session, version);
+            self.news.notify_one();
+        }
+    }
+
+    /// Takes that `session` is on a version, by its digest.
+    pub fn hold_session(&self, session: u64, version: u64) {
         let mut sessions = self.sessions.borrow_mut();
         if sessions.len() < SESSIONS_MAX || sessions.contains_key(&session) {
-            sessions.insert(session, (digest_text(version), self.now()));
+            sessions.insert(session, (version, self.now()));
         }
     }
 
--- a/crates/gateway/src/upgrades.rs
+++ b/crates/gateway/src/upgrades.rs
@@ -6,7 +6,7 @@
 use clock::Millis;
 use log::{info, warn};
 use platform::{LogClient, STATUS_TOPIC};
-use route::{RouteEvidence, Side, Upgrade, Versions, digest_text};
+use route::{RouteEvidence, Side, Upgrade, Versions, digest_text, is_drawn};
 use store::{KeyedLog, StoreError};
 
 use crate::{
@@ -142,6 +142,24 @@
         all
     }
 
+    /// Share of the sessions that an unproved version gets.
+    fn expose(&self) -> f64 {
+        self.settings.gateway.expose_share * EXPOSE_MARGIN
+    }
+
+    /// Whether the peers have to know which version the session is on: those
+    /// that would send it to another one otherwise.
+    ///
+    /// That holds also while nothing is rolled out: a session under way when
+    /// an order comes is not to be moved.
+    pub fn is_told(&self, service: &str, session: u64) -> bool {
+        let rollouts = self.rollouts.borrow();
+        let passed = rollouts
+            .get(service)
+            .is_some_and(|rollout| rollout.upgrade.passed && rollout.share < 1.0);
+        passed || is_drawn(session, self.expose())
+    }
+
     /// Counts an answer of `version` as evidence.
     pub fn see_answer(&self, job: &Job, version: &str, quality: Quality) {
         let mut rollouts = self.rollouts.borrow_mut();
@@ -217,7 +235,7 @@
             let peers = self.peers.borrow();
             !peers.any_heard() || peers.fresh(now).next().is_some()
         };
-        let expose = self.settings.gateway.expose_share * EXPOSE_MARGIN;
+        let expose = self.expose();
         let mut rollouts = self.rollouts.borrow_mut();
         for (service, rollout) in rollouts.iter_mut() {
             if !self.is_open(rollout) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -32,5 +32,5 @@
 };
 pub use size::{FirstSize, SizeSettings, first_size, is_worth_asking, wanted_size};
 pub use ticket::{Ticket, TicketError, TicketKeys};
-pub use upgrade::{Evidence, RouteEvidence, Side, Upgrade};
+pub use upgrade::{Evidence, RouteEvidence, Side, Upgrade, is_drawn};
 pub use version::{Choice, RouteError, Session, Wanted, choose_version, parse_wanted};
--- a/crates/route/src/upgrade.rs
+++ b/crates/route/src/upgrade.rs
@@ -51,8 +51,9 @@
 /// times, and each look may raise a false alarm.
 const BAD_ERRORS: f64 = 2.6;
 
-/// Part of all requests that an unproved version may have got...
-const EXPOSED_SHARE: f64 = 0.13;
+/// Part of all requests that an unproved version may have got, as a multiple
+/// of the share of sessions that are drawn for it...
+const EXPOSED_FACTOR: f64 = 1.3;
 
 /// ... and this many more.
 const EXPOSED_SLACK: f64 = 15.0;
@@ -169,11 +170,11 @@
     }
 
     /// Whether the new version got as much as an unproved one may.
-    fn is_exposed(&self, part: f64) -> bool {
+    fn is_exposed(&self, expose: f64, part: f64) -> bool {
         let total = self.total();
         let seen = (total.new_answers() + total.old_answers()) as f64;
         let expected = seen / part.clamp(0.05, 1.0);
-        total.new_answers() as f64 > expected * EXPOSED_SHARE + EXPOSED_SLACK
+        total.new_answers() as f64 > expected * expose * EXPOSED_FACTOR + EXPOSED_SLACK
     }
 }
 
@@ -193,6 +194,14 @@
     pub passed: bool,
 }
 
+/// Whether a session of this draw is among those of the new version, if it
+/// gets `share` of them.
+pub fn is_drawn(draw: u64, share: f64) -> bool {
+    /// Steps of a draw.
+    const DRAWS: u64 = 10_000;
+    ((draw % DRAWS) as f64) < share * DRAWS as f64
+}
+
 /// Where a request goes while a roll-out is under way.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Side {
@@ -252,7 +261,11 @@
         if self.passed {
             return if part < ALL_FROM { STEP_SHARE } else { 1.0 };
         }
-        if all.is_exposed(part) { 0.0 } else { expose }
+        if all.is_exposed(expose, part) {
+            0.0
+        } else {
+            expose
+        }
     }
 
     /// Where a session goes, by where it was last and a draw that is the same
@@ -260,12 +273,10 @@
     ///
     /// A session stays on its version in the first half, and never goes back.
     pub fn side(&self, last: Option<Side>, draw: u64, share: f64, now: Millis) -> Side {
-        /// Steps of a draw.
-        const DRAWS: u64 = 10_000;
         if self.halted {
             return Side::Old;
         }
-        let drawn = if ((draw % DRAWS) as f64) < share * DRAWS as f64 {
+        let drawn = if is_drawn(draw, share) {
             Side::New
         } else {
             Side::Old
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -86,6 +86,7 @@
         Datagram::News(News {
             born_ms: 1,
             sent: vec![(1, 2, tokens); count],
+            sessions: vec![(3, 4); count],
         })
     };
     let bytes = |news: &Datagram| postcard::to_stdvec(news).unwrap();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -320,6 +320,23 @@
     gateway.wait_logged("outcome=no_retry_left").await;
 }
 
+#[tokio::test]
+async fn gateways_that_only_a_third_one_names_hear_each_other() {
+    let site = Site::start().await;
+    let start = |address: String, named: &str| {
+        let settings =
+            format!("peer_listen = {address}\n[peers]\naddresses = {named}\n");
+        GatewayProcess::start(&site.dir, site.log.address, &settings)
+    };
+    let first = start("127.0.0.1:0".into(), "");
+    let (named, port) = (first.words.to_string(), first.words.port());
+    let second = start(format!("127.0.0.2:{port}"), &named);
+    let third = start(format!("127.0.0.3:{port}"), &named);
+    let heard = |peer: &GatewayProcess| format!("event=peer_heard peer={}", peer.words);
+    second.wait_logged(&heard(&third)).await;
+    third.wait_logged(&heard(&second)).await;
+}
+
 #[tokio::test]
 async fn request_that_comes_with_the_start_waits_for_the_first_configuration() {
     let site = Site::start().await;
