Take a request's side of a roll-out anew for each attempt; read less from the log

The test failed first (the old endpoint was asked 0 times).

News of endpoints gather for 300 ms. With more than eight peers each gets its word in turn, and counts as heard for as many rounds.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -336,6 +336,10 @@
         if !first && !taken && !self.gateway.take_retry(&self.job.service) {
             return None;
         }
+        // Anew for each attempt: an order may have come since, and a version
+        // may have been found bad.
+        let job = &self.job;
+        self.track = self.gateway.track(&job.service, job.session, job.draw);
         self.place(None)
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,14 +3,16 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use clock::Millis;
 use log::{info, warn};
 use platform::{
     Announcement, CATALOG_KEY, ENDPOINT_TOPIC, LogClient, OPERATOR_TOPIC,
     ORDER_KEY_PREFIX, STATUS_TOPIC,
 };
-use store::{KeyedChange, KeyedNews, follow_keyed};
+use store::{Follow, KeyedChange, KeyedNews, follow_keyed};
+use tokio::sync::Notify;
 
-use crate::state::Gateway;
+use crate::{peers::LogEnds, state::Gateway};
 
 /// Time between the systems' ticks over the tables, ms.
 const TICK_MS: u64 = 250;
@@ -20,7 +22,18 @@
 /// A connection that went silent is noticed only when its read's time is over,
 /// so that the wait bounds how old a belief can be while the log is well.  A
 /// record is late by that at most, which only prolongs a roll-out.
-const STATUS_WAITS: u64 = 5;
+const STATUS_WAITS: u64 = 2;
+
+/// Pause after news of endpoints, in which more of it gathers, ms.  A leaving
+/// endpoint serves on for several times that.
+const ENDPOINT_PAUSE_MS: u64 = 300;
+
+/// Time for which peers know more of a topic before it is read anew, ms: one
+/// gateway's read is answered a little later than another's.
+const BEHIND_MS: u64 = 300;
+
+/// Least time between two such reads, ms: what a peer says may be wrong.
+const READ_AGAIN_MS: u64 = 1_500;
 
 /// Starts the followers and the tick.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
@@ -44,13 +57,60 @@
     );
     let client = LogClient::new(settings.address, settings.timeout_ms);
     let tell = |news| take_news(&gateway, topic, news);
-    follow_keyed(client, topic, wait_ms, &gateway.clock, tell).await;
+    let never = Notify::new();
+    let (pause_ms, stale) = match topic {
+        OPERATOR_TOPIC => (0, &gateway.operator_stale),
+        ENDPOINT_TOPIC => (ENDPOINT_PAUSE_MS, &gateway.endpoints_stale),
+        _ => (0, &never),
+    };
+    let follow = Follow {
+        topic,
+        wait_ms,
+        pause_ms,
+        stale,
+    };
+    follow_keyed(client, follow, &gateway.clock, tell).await;
+}
+
+/// How far a topic is behind what peers know.
+#[derive(Debug, Default)]
+struct Behind {
+    since: Option<Millis>,
+    /// When it was read anew last.
+    read_at: Option<Millis>,
+}
+
+impl Behind {
+    /// Whether the topic, known up to `own`, is to be read anew.
+    fn is_due(&mut self, own: u64, told: u64, now: Millis) -> bool {
+        if told <= own {
+            self.since = None;
+            return false;
+        }
+        let since = *self.since.get_or_insert(now);
+        let rested = self.read_at.is_none_or(|at| now.since(at) >= READ_AGAIN_MS);
+        let due = rested && now.since(since) >= BEHIND_MS;
+        if due {
+            self.read_at = Some(now);
+        }
+        due
+    }
 }
 
 async fn tick(gateway: Rc<Gateway>) {
+    let mut operator = Behind::default();
+    let mut endpoints = Behind::default();
     loop {
         tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
         let now = gateway.now();
+        let own = gateway.ends.get();
+        let told = gateway.peers.borrow().ends(now);
+        if operator.is_due(own.operator, told.operator, now) {
+            gateway.operator_stale.notify_one();
+        }
+        if endpoints.is_due(own.endpoints, told.endpoints, now) {
+            gateway.endpoints_stale.notify_one();
+        }
         gateway.links.borrow_mut().expire(now);
         let gone = gateway.pool.borrow_mut().expire(now);
         for id in gone {
@@ -72,8 +132,17 @@
             for change in changes {
                 take_change(gateway, topic, change, fresh);
             }
-            if topic == STATUS_TOPIC {
-                gateway.status_end.set(end);
+            let ends = gateway.ends.get();
+            match topic {
+                STATUS_TOPIC => gateway.status_end.set(end),
+                OPERATOR_TOPIC => gateway.ends.set(LogEnds {
+                    operator: end,
+                    ..ends
+                }),
+                _ => gateway.ends.set(LogEnds {
+                    endpoints: end,
+                    ..ends
+                }),
             }
         }
         KeyedNews::Lost { .. } if topic == OPERATOR_TOPIC => gateway.log_lost.set(true),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,7 +16,6 @@
 
 use clock::Millis;
 use log::{info, warn};
-use rand::seq::IteratorRandom;
 use route::{Evidence, Hearing, Sent};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -26,13 +25,16 @@
 /// Time between words to the peers, ms.
 const WORD_EVERY_MS: u64 = 200;
 
-/// Age up to which a peer's word counts, ms.
-pub(crate) const FRESH_MS: u64 = 1_000;
+/// Least age up to which a peer's word counts, ms.
+const FRESH_MS: u64 = 1_000;
+
+/// Words that a peer may miss before it does not count any more.
+const MISSED_WORDS: u64 = 2;
 
 /// Silence after which a peer is forgotten unless the settings name it, ms.
 const FORGET_MS: u64 = 20_000;
 
-/// Peers that get each word; with more, a drawn few get each.
+/// Peers that get each word; with more, they get it in turn.
 const FANOUT_MAX: usize = 8;
 
 /// Peers that are remembered.
@@ -107,6 +109,15 @@
     pub sessions: Vec<(u64, u64)>,
 }
 
+/// Offsets up to which a gateway knows the topics that all follow.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LogEnds {
+    /// Of the operators' topic.
+    pub operator: u64,
+    /// Of the endpoints.
+    pub endpoints: u64,
+}
+
 /// What a gateway knows and does.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Word {
@@ -118,6 +129,8 @@
     pub catalog_version: u64,
     /// Whether it can read the log, and so record.
     pub reads_log: bool,
+    /// How far it has read.
+    pub ends: LogEnds,
     /// Digests of endpoints, its requests there, and the tokens that these
     /// still have to read.
     pub running: Vec<(u64, u32, u32)>,
@@ -142,6 +155,8 @@
 pub(crate) struct Peers {
     own: Option<SocketAddr>,
     rows: BTreeMap<SocketAddr, Peer>,
+    /// Words sent.
+    turn: usize,
     /// What some peers are to hear at once.
     news: Vec<Sent>,
     /// Sessions that all peers are to hear of at once.
@@ -186,6 +201,7 @@
                 self.add(*address, false, now);
             }
         }
+        let fresh_ms = self.fresh_ms();
         let Some(peer) = self.rows.get_mut(&from) else {
             return false;
         };
@@ -193,7 +209,7 @@
         if (word.born_ms, word.count) <= held {
             return false;
         }
-        let was_fresh = peer.heard.is_some_and(|at| now.since(at) <= FRESH_MS);
+        let was_fresh = peer.heard.is_some_and(|at| now.since(at) <= fresh_ms);
         peer.word = word;
         peer.heard = Some(now);
         !was_fresh
@@ -234,20 +250,30 @@
             let last = peer.heard.unwrap_or(peer.known);
             peer.named || now.since(last) < FORGET_MS
         });
+        let fresh_ms = self.fresh_ms();
         let silent = self.rows.iter().filter(|(_, peer)| {
             peer.heard.is_some_and(|at| {
                 let age_ms = now.since(at);
-                age_ms > FRESH_MS && age_ms <= FRESH_MS + WORD_EVERY_MS
+                age_ms > fresh_ms && age_ms <= fresh_ms + WORD_EVERY_MS
             })
         });
         silent.map(|(address, _)| *address).collect()
     }
 
+    /// Age up to which a peer's word counts, ms: with many peers, each speaks to
+    /// this one less often.
+    fn fresh_ms(&self) -> u64 {
+        let rounds = self.rows.len().div_ceil(FANOUT_MAX) as u64;
+        let missed_ms = WORD_EVERY_MS * rounds * (MISSED_WORDS + 1);
+        missed_ms.max(FRESH_MS)
+    }
+
     /// Words that count, with who said them.
     pub fn fresh(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, &Word)> {
+        let fresh_ms = self.fresh_ms();
         self.rows.iter().filter_map(move |(address, peer)| {
             let heard = peer.heard?;
-            (now.since(heard) <= FRESH_MS).then_some((*address, &peer.word))
+            (now.since(heard) <= fresh_ms).then_some((*address, &peer.word))
         })
     }
 
@@ -274,6 +300,15 @@
         (known && word.catalog_version > version).then_some(address)
     }
 
+    /// The furthest that any peer has read.
+    pub fn ends(&self, now: Millis) -> LogEnds {
+        self.fresh(now)
+            .fold(LogEnds::default(), |ends, (_, word)| LogEnds {
+                operator: ends.operator.max(word.ends.operator),
+                endpoints: ends.endpoints.max(word.ends.endpoints),
+            })
+    }
+
     /// Whether any peer was ever heard.
     pub fn any_heard(&self) -> bool {
         self.rows.values().any(|peer| peer.heard.is_some())
@@ -310,10 +345,13 @@
         }
     }
 
-    /// Who gets the next word.
+    /// Who gets the next word: all in turn, so that each is heard as often.
     fn receivers(&self) -> Vec<SocketAddr> {
-        let addresses = self.rows.keys().copied();
-        addresses.sample(&mut rand::rng(), FANOUT_MAX)
+        let all = self.rows.len().max(1);
+        let first = self.turn * FANOUT_MAX % all;
+        let addresses = self.rows.keys().copied().cycle();
+        let next = addresses.skip(first).take(FANOUT_MAX.min(self.rows.len()));
+        next.collect()
     }
 
     fn told(&self, now: Millis) -> Vec<SocketAddr> {
@@ -450,10 +488,10 @@
 async fn speak(gateway: &Gateway, socket: &UdpSocket, born_ms: u64, count: u64) {
     let now = gateway.now();
     for peer in gateway.peers.borrow_mut().expire(now) {
-        warn!("event=peer_silent peer={peer} silent_ms={FRESH_MS}");
+        warn!("event=peer_silent peer={peer}");
     }
     let (word, receivers) = {
-        let peers = gateway.peers.borrow();
+        let mut peers = gateway.peers.borrow_mut();
         let mut running = gateway.pool.borrow().running();
         running.truncate(RUNNING_MAX);
         let word = Word {
@@ -461,11 +499,14 @@
             count,
             catalog_version: gateway.catalog().map_or(0, |catalog| catalog.version),
             reads_log: !gateway.log_lost.get(),
+            ends: gateway.ends.get(),
             running,
             upgrades: gateway.upgrade_words(UPGRADES_MAX),
             peers: peers.told(now),
         };
-        (word, peers.receivers())
+        let receivers = peers.receivers();
+        peers.turn += 1;
+        (word, receivers)
     };
     gateway.take_elsewhere(now);
     send(gateway, socket, &Datagram::Word(word), receivers).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,11 @@
 use tokio::sync::Notify;
 
 use crate::{
-    idle::IdleLinks, peers::Peers, stats::Stats, upgrades::Rollout, usual::UsualTimes,
+    idle::IdleLinks,
+    peers::{LogEnds, Peers},
+    stats::Stats,
+    upgrades::Rollout,
+    usual::UsualTimes,
 };
 
 /// Part of the allowed repeats that a gateway takes: what it has counted as a
@@ -51,6 +55,12 @@
     pub statuses: RefCell<HashMap<String, RolloutStatus>>,
     /// Offset up to which the recorded status is known.
     pub status_end: Cell<u64>,
+    /// Offsets up to which the followed topics are known.
+    pub ends: Cell<LogEnds>,
+    /// Told when peers know more of the operators' topic.
+    pub operator_stale: Notify,
+    /// Told when peers know more of the endpoints.
+    pub endpoints_stale: Notify,
     /// Version of each session, as a digest, and when it was last on it.
     sessions: RefCell<HashMap<u64, (u64, Millis)>>,
     born_ms: u64,
@@ -102,6 +112,9 @@
             rollouts: RefCell::default(),
             statuses: RefCell::default(),
             status_end: Cell::default(),
+            ends: Cell::default(),
+            operator_stale: Notify::new(),
+            endpoints_stale: Notify::new(),
             sessions: RefCell::default(),
             born_ms,
             stopping: Notify::new(),
--- a/crates/store/src/keyed.rs
+++ b/crates/store/src/keyed.rs
@@ -10,6 +10,7 @@
 use clock::{Clock, Millis};
 use log::{info, warn};
 use rand::RngExt;
+use tokio::sync::Notify;
 
 use crate::StoreError;
 
@@ -184,13 +185,26 @@
     },
 }
 
-/// Keeps a table of `topic` current for as long as it is polled.
+/// What a follower reads, and how.
+#[derive(Debug)]
+pub struct Follow<'a> {
+    /// Topic.
+    pub topic: &'a str,
+    /// Time for which a read waits for news, ms.
+    pub wait_ms: u64,
+    /// Pause after news, in which more gather for the next read, ms.
+    pub pause_ms: u64,
+    /// Told when others know more than this follower: its connection has gone
+    /// silent, and the read is to be made anew.
+    pub stale: &'a Notify,
+}
+
+/// Keeps a table of a topic current for as long as it is polled.
 ///
 /// History that the log has dropped is made up for by a whole list.
 pub async fn follow_keyed<L, C, F>(
     mut log: L,
-    topic: &str,
-    wait_ms: u64,
+    follow: Follow<'_>,
     clock: &C,
     mut tell: F,
 ) where
@@ -198,6 +212,12 @@
     C: Clock,
     F: FnMut(KeyedNews),
 {
+    let Follow {
+        topic,
+        wait_ms,
+        pause_ms,
+        stale,
+    } = follow;
     let mut table = KeyedTable::default();
     let mut whole = true;
     let mut followed = false;
@@ -207,7 +227,14 @@
         let read = if whole {
             log.newest(topic).await
         } else {
-            log.read(topic, table.end(), wait_ms).await
+            let end = table.end();
+            tokio::select! {
+                read = log.read(topic, end, wait_ms) => read,
+                () = stale.notified() => {
+                    info!("event=log_read_again topic={topic} end={end} reason=peers_know_more");
+                    continue;
+                }
+            }
         };
         match read {
             Ok(page) => {
@@ -224,6 +251,7 @@
                 };
                 let end = table.end();
                 let fresh = followed;
+                let news = !whole && !page.records.is_empty();
                 tell(KeyedNews::Changed {
                     changes,
                     end,
@@ -232,6 +260,9 @@
                 // The list's pages are no snapshot: what came between is read.
                 whole = false;
                 followed = true;
+                if news && pause_ms > 0 {
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                }
             }
             Err(StoreError::Trimmed { first }) => {
                 info!(
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,7 +15,8 @@
 pub use error::StoreError;
 pub use follow::{CONFIG_STREAM, claim_stream, follow, follow_config};
 pub use keyed::{
-    KeyedChange, KeyedLog, KeyedNews, KeyedPage, KeyedRecord, KeyedTable, follow_keyed,
+    Follow, KeyedChange, KeyedLog, KeyedNews, KeyedPage, KeyedRecord, KeyedTable,
+    follow_keyed,
 };
 pub use live::{Instance, InstanceState, LiveList, Role};
 pub use view::{ConfigNews, ConfigView, Health};
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -320,6 +320,35 @@
     gateway.wait_logged("outcome=no_retry_left").await;
 }
 
+#[tokio::test]
+async fn retry_of_a_request_that_is_older_than_a_roll_out_stays_on_the_old_version() {
+    let site = Site::start().await;
+    let silent = WireEndpoint::start(Act::Silent).await;
+    site.announce("e1", "engine", &silent);
+    let gateway = site.gateway("").await;
+    let callers = gateway.callers;
+    let draft = request("POST", "/draft/", "r1", DRAFT, "x");
+    let early = tokio::spawn(async move { ask(callers, &draft).await });
+    while silent.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let order = r#"{"service":"engine","target":"v2","over_s":600}"#;
+    site.log.put("keyed.op", "rollout/engine", order);
+    gateway.wait_logged("event=rollout_ordered").await;
+    let old = WireEndpoint::start(Act::Stream(2)).await;
+    site.announce("old", "engine", &old);
+    let mut new = Vec::new();
+    for id in ["e3", "e4", "e5", "e6", "e7"] {
+        let endpoint = WireEndpoint::start(Act::Stream(2)).await;
+        site.announce_as(id, "engine", endpoint.address, "v2", "ready");
+        new.push(endpoint);
+    }
+    gateway.wait_logged("event=endpoint endpoint=e7").await;
+    assert!(early.await.unwrap().is_whole());
+    assert_eq!(old.seen().len(), 1);
+    assert!(new.iter().all(|endpoint| endpoint.seen().is_empty()));
+}
+
 #[tokio::test]
 async fn gateways_that_only_a_third_one_names_hear_each_other() {
     let site = Site::start().await;
--- a/tests/keyed.rs
+++ b/tests/keyed.rs
@@ -1,8 +1,15 @@
 //! The fold of a topic that keeps the newest record of each key.
 
+use std::{cell::RefCell, future::pending};
+
 use bytes::Bytes;
+use clock::SystemClock;
 use proptest::prelude::*;
-use store::{KeyedChange, KeyedPage, KeyedRecord, KeyedTable};
+use store::{
+    Follow, KeyedChange, KeyedLog, KeyedPage, KeyedRecord, KeyedTable, StoreError,
+    follow_keyed,
+};
+use tokio::sync::Notify;
 
 fn record(key: &str, value: &str, offset: u64) -> KeyedRecord {
     KeyedRecord {
@@ -60,3 +67,67 @@
         prop_assert_eq!(held, offsets.iter().max().copied());
     }
 }
+
+/// A log of whose reads only the second is answered.
+struct SilentOnce<'a> {
+    reads: &'a RefCell<u32>,
+}
+
+impl KeyedLog for SilentOnce<'_> {
+    async fn read(
+        &mut self,
+        _topic: &str,
+        _from: u64,
+        _wait_ms: u64,
+    ) -> Result<KeyedPage, StoreError> {
+        *self.reads.borrow_mut() += 1;
+        if *self.reads.borrow() != 2 {
+            pending::<()>().await;
+        }
+        Ok(page(vec![record("k", "2", 7)], 8))
+    }
+
+    async fn newest(&mut self, _topic: &str) -> Result<KeyedPage, StoreError> {
+        Ok(page(vec![record("k", "1", 3)], 4))
+    }
+
+    async fn append(
+        &mut self,
+        _topic: &str,
+        _key: &str,
+        _value: &[u8],
+        _at: u64,
+    ) -> Result<u64, StoreError> {
+        Err(StoreError::Timeout(0))
+    }
+}
+
+#[tokio::test]
+async fn silent_read_is_made_anew_once_others_know_more() {
+    let reads = RefCell::new(0);
+    let stale = Notify::new();
+    let follow = Follow {
+        topic: "t",
+        wait_ms: 1_000,
+        pause_ms: 0,
+        stale: &stale,
+    };
+    let clock = SystemClock::default();
+    let (tell, mut told) = tokio::sync::mpsc::unbounded_channel();
+    let log = SilentOnce { reads: &reads };
+    let follower = follow_keyed(log, follow, &clock, |news| {
+        let _ = tell.send(news);
+    });
+    let listener = async {
+        told.recv().await;
+        stale.notify_one();
+        told.recv().await
+    };
+    tokio::select! {
+        () = follower => panic!("a follower never ends"),
+        news = listener => {
+            let news = format!("{news:?}");
+            assert!(news.contains("end: 8"), "{news}");
+        }
+    }
+}
