--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -18,6 +18,7 @@
 mod golden;
 mod health;
 mod keyed;
+mod operations;
 mod placing;
 mod platform;
 mod platform_wire;
