Bound the repeats of any window, not only of a steady stream

Cause: the budget faded both counts, so that what was saved before an outage was spent at its start and as much again during it: up to twice the share in one window.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -202,10 +202,12 @@
         F: FnOnce(&mut RetryBudget) -> T,
     {
         let mut budgets = self.budgets.borrow_mut();
-        let share = self.settings.gateway.retry_share * RETRY_MARGIN;
+        let settings = &self.settings.gateway;
+        let share = settings.retry_share * RETRY_MARGIN;
+        let window_ms = (settings.retry_window_s * 1_000.0) as u64;
         let budget = budgets
             .entry(service.to_owned())
-            .or_insert_with(|| RetryBudget::new(share));
+            .or_insert_with(|| RetryBudget::new(share).over(window_ms));
         act(budget)
     }
 
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -467,6 +467,13 @@
         decimal(0.0, 10.0),
         "Attempts after the first that a service may get at most, as a share of first attempts.",
     ),
+    key(
+        "gateway",
+        "retry_window_s",
+        "10",
+        decimal(0.1, 3_600.0),
+        "Time over which these attempts are counted.",
+    ),
     key(
         "gateway",
         "expose_share",
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -179,6 +179,8 @@
     pub peer_listen: SocketAddr,
     /// Attempts after the first that are allowed, as a share of first attempts.
     pub retry_share: f64,
+    /// Time over which these are counted, s.
+    pub retry_window_s: f64,
     /// Share of requests that a bad version may get.
     pub expose_share: f64,
     /// Pause after which a session may change its version, s.
@@ -430,6 +432,7 @@
         metrics_listen: address("metrics_listen"),
         peer_listen: address("peer_listen"),
         retry_share: decimal("retry_share"),
+        retry_window_s: decimal("retry_window_s"),
         expose_share: decimal("expose_share"),
         session_s: decimal("session_s"),
         start_wait_ms: raw.number("gateway", "start_wait_ms"),
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use clock::Millis;
+use proptest::prelude::*;
 use rand::{SeedableRng, rngs::StdRng};
 use route::{
     Balance, Locality, NoRunner, Outcome, PickSettings, Report, RetryBudget, Runners,
@@ -183,3 +184,44 @@
     none.first_attempt(now);
     assert!(!none.try_retry(now));
 }
+
+proptest! {
+    /// Whatever the traffic, the repeats that all gateways take in ten seconds
+    /// stay within the share of the first attempts of ten seconds that end in
+    /// them, and the gateways' floors.
+    #[test]
+    fn repeats_of_all_gateways_stay_within_the_share(
+        bursts in proptest::collection::vec((0_u64..6, 0_u64..9), 80),
+        quiet in proptest::collection::vec(any::<bool>(), 80),
+    ) {
+        const GATEWAYS: usize = 5;
+        const SHARE: f64 = 0.8;
+        const FLOORS: f64 = 3.0 * GATEWAYS as f64;
+        const STEP_MS: u64 = 500;
+        const WINDOW: usize = 20;
+        let mut budgets = vec![RetryBudget::new(SHARE); GATEWAYS];
+        let mut first = Vec::new();
+        let mut taken = Vec::new();
+        for (at, ((firsts, wanted), quiet)) in bursts.iter().zip(&quiet).enumerate() {
+            let now = Millis(1_000 + at as u64 * STEP_MS);
+            let firsts = if *quiet { 0 } else { *firsts };
+            let (mut sum_first, mut sum_taken) = (0_u64, 0_u64);
+            for budget in &mut budgets {
+                (0..firsts).for_each(|_| budget.first_attempt(now));
+                sum_first += firsts;
+                sum_taken += (0..*wanted).filter(|_| budget.try_retry(now)).count() as u64;
+            }
+            first.push(sum_first);
+            taken.push(sum_taken);
+        }
+        let sum = |counts: &[u64], from: usize| -> f64 {
+            counts[from..from + WINDOW].iter().sum::<u64>() as f64
+        };
+        for from in WINDOW..first.len() - WINDOW {
+            let starts = from - WINDOW..=from;
+            let most = starts.map(|start| sum(&first, start)).fold(0.0, f64::max);
+            let repeats = sum(&taken, from);
+            prop_assert!(repeats <= SHARE * most + FLOORS, "{repeats} {most}");
+        }
+    }
+}
