--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,7 +12,7 @@
 use store::{Follow, KeyedChange, KeyedNews, follow_keyed};
 use tokio::sync::Notify;
 
-use crate::{peers::LogEnds, state::Gateway};
+use crate::{state::Gateway, words::LogEnds};
 
 /// Time between the systems' ticks over the tables, ms.
 const TICK_MS: u64 = 250;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod body;
+mod choice;
 mod dispatch;
 mod events;
 mod fetch;
@@ -19,8 +20,10 @@
 mod server;
 mod state;
 mod stats;
+mod talk;
 mod upgrades;
 mod usual;
+mod words;
 
 use std::{io, net::SocketAddr, path::PathBuf, rc::Rc};
 
@@ -32,8 +35,8 @@
 };
 
 pub use events::EventCutter;
-pub use peers::{Datagram, News, UpgradeWord, Word, decode};
 use state::Gateway;
+pub use words::{Datagram, LogEnds, News, UpgradeWord, Word, decode};
 
 /// Where a gateway listens.
 #[derive(Debug)]
@@ -106,7 +109,7 @@
         tokio::task::spawn_local(probe::serve(gateway.clone(), listener));
     }
     tokio::task::spawn_local(server::serve(gateway.clone(), listeners.callers));
-    tokio::task::spawn_local(peers::talk(gateway.clone(), listeners.words));
+    tokio::task::spawn_local(talk::talk(gateway.clone(), listeners.words));
     tokio::task::spawn_local(fetch::look_after(gateway.clone()));
     tokio::task::spawn_local(upgrades::look_after(gateway.clone()));
     tokio::task::spawn_local(reload(file, reloads));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,11 +18,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    idle::IdleLinks,
-    peers::{LogEnds, Peers},
-    stats::Stats,
-    upgrades::Rollout,
-    usual::UsualTimes,
+    idle::IdleLinks, peers::Peers, stats::Stats, upgrades::Rollout, usual::UsualTimes,
+    words::LogEnds,
 };
 
 /// Part of the allowed repeats that a gateway takes: what it has counted as a
--- a/crates/gateway/src/upgrades.rs
+++ b/crates/gateway/src/upgrades.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     job::Job,
-    peers::{ROUTES_MAX, UpgradeWord, Word},
     state::Gateway,
+    words::{ROUTES_MAX, UpgradeWord, Word},
 };
 
 /// Time between looks at the roll-outs, ms.
