Keep a silent read shorter than the time in which an endpoint leaves

Cause: reads of 2.5 s broke the check gateway::silent_read_is_over_before_a_leaving_endpoint_must_be_known (2.5 s and 0.7 s against the 2 s of a drain), and it is right: peers tell who is behind, but where all connections go silent at once nobody is ahead. Reads wait 1 s again; endpoints' news still gather for 300 ms.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -22,7 +22,7 @@
 /// A connection that went silent is noticed only when its read's time is over,
 /// so that the wait bounds how old a belief can be while the log is well.  A
 /// record is late by that at most, which only prolongs a roll-out.
-const STATUS_WAITS: u64 = 2;
+const STATUS_WAITS: u64 = 5;
 
 /// Pause after news of endpoints, in which more of it gathers, ms.  A leaving
 /// endpoint serves on for several times that.
