Look once at what an endpoint has cached, and start attempts in one place

Found in a last reading; behaviour stays as it is. - Pool::pick counted each endpoint's cached parts up to three times and salted their digests anew for each; now once a pick. A subject's rank is computed once an endpoint instead of at each comparison. - A request's side of a roll-out was taken in Dispatch::new and again before the first attempt; now before each attempt only. - Making an attempt stood in Dispatch::run and Relay; both call Dispatch::attempt, without copies of model, id and version. - Requests sent were turned into tuples for the datagram and back; Sent itself is in it. Peers are woken only if there is something to tell. - A message's connection headers and its length are stripped in one function. - Whether configuration and endpoints are known is asked in one place. - The budget's settings are worked out where a budget is made. - The page on datagrams stands with the datagrams.

tests/events.rs builds its news from Sent; its assertions are as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -72,8 +72,7 @@
         let mut pool = gateway.pool.borrow_mut();
         let sent = pool.sent(id, ask, pick.uncached_tokens, now);
         drop(pool);
-        if let Some(sent) = sent {
-            gateway.peers.borrow_mut().note_sent(sent);
+        if sent.is_some_and(|sent| gateway.peers.borrow_mut().note_sent(sent)) {
             gateway.news.notify_one();
         }
         Running {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::{
     attempt::{Answer, Extra, Failure, Kept, Running, attempt, last_moment},
     body::Outgoing,
-    job::{Job, Refusal, read_job, request_id, strip_hop_by_hop},
+    job::{Job, Refusal, read_job, request_id, strip_connection},
     record::RequestRecord,
     relay::Relay,
     state::Gateway,
@@ -99,7 +99,7 @@
     retry_taken: bool,
     /// Place of the model among the route's sizes.
     pub size: usize,
-    /// Where it goes by the roll-out of its service.
+    /// Where it goes by the roll-out of its service, as of the last attempt.
     pub track: Track,
     /// Version that it ran on last.
     version: Option<String>,
@@ -155,7 +155,6 @@
             // What runs once has no second try: the surest model is asked.
             sizes.saturating_sub(1)
         };
-        let track = gateway.track(&job.service, job.session, job.draw);
         Dispatch {
             gateway: gateway.clone(),
             job,
@@ -167,7 +166,7 @@
             may_have_run: false,
             retry_taken: false,
             size,
-            track,
+            track: Track::default(),
             version: None,
         }
     }
@@ -184,29 +183,23 @@
             };
             self.sends += 1;
             let sent_at = self.gateway.now();
-            let version = running.pick.endpoint.version.clone();
             let pick = running.pick.clone();
-            let patience_ms = self.patience_ms();
-            let model = self.model().map(str::to_owned);
-            let id = running.pick.endpoint.id.clone();
-            self.record.attempted(&id, model.as_deref().unwrap_or("-"));
-            let extra = Extra {
-                model: model.as_deref(),
-                last_event: None,
-            };
-            let sent = self.send(running, extra, patience_ms, &mut held).await;
+            let endpoint = &pick.endpoint;
+            let sent = self.send(running, &mut held).await;
             if sent.is_ok() {
-                self.on_version(&version);
+                self.on_version(&endpoint.version);
             }
             let head_ms = self.gateway.now().since(sent_at);
-            self.see(&version, &sent, head_ms);
+            self.see(&endpoint.version, &sent, head_ms);
             log::debug!(
-                "event=attempt_head request={} endpoint={id} route={} session={} version={version} tokens_in={} model={} uncached={} running={} elsewhere={} predicted_ms={} head_ms={head_ms} good={}",
+                "event=attempt_head request={} endpoint={} route={} session={} version={} tokens_in={} model={} uncached={} running={} elsewhere={} predicted_ms={} head_ms={head_ms} good={}",
                 shown_id(&self.job.id),
+                endpoint.id,
                 self.job.route().name,
                 self.job
                     .session
                     .map_or("-".into(), |session| format!("{session:x}")),
+                endpoint.version,
                 self.job.prompt.tokens_in,
                 self.size,
                 pick.uncached_tokens,
@@ -238,7 +231,7 @@
                 Step::Failed(failure) => failure,
             };
             self.record.attempt_failed(failure.reason());
-            self.tried.push(id);
+            self.tried.push(pick.endpoint.id);
             if failure.may_have_run() {
                 self.attempts += 1;
                 self.may_have_run = true;
@@ -255,12 +248,9 @@
     async fn send(
         &self,
         running: Running,
-        extra: Extra<'_>,
-        patience_ms: u64,
         held: &mut Option<Held>,
     ) -> Result<Answer, Failure> {
-        let sending = attempt(&self.gateway, &self.job, running, extra, patience_ms);
-        let mut sending = pin!(sending);
+        let mut sending = pin!(self.attempt(running, None, self.patience_ms()));
         if let Some(kept) = held {
             let held_ms = kept.until.since(self.gateway.now());
             let limit = Duration::from_millis(held_ms);
@@ -272,6 +262,20 @@
         sending.await
     }
 
+    /// Makes one attempt, after `last_event` where a stream goes on.
+    pub async fn attempt(
+        &self,
+        running: Running,
+        last_event: Option<&Bytes>,
+        patience_ms: u64,
+    ) -> Result<Answer, Failure> {
+        let model = self.model();
+        let endpoint = &running.pick.endpoint.id;
+        self.record.attempted(endpoint, model.unwrap_or("-"));
+        let extra = Extra { model, last_event };
+        attempt(&self.gateway, &self.job, running, extra, patience_ms).await
+    }
+
     /// Decides what to do with an answer whose head came.
     async fn weigh(&mut self, answer: Answer) -> Step {
         let streams = self.job.repeat().is_stream();
@@ -377,8 +381,7 @@
         if again {
             return Step::Failed(Failure::MayHaveRun("endpoint_error"));
         }
-        strip_hop_by_hop(&mut head.headers);
-        head.headers.remove(header::CONTENT_LENGTH);
+        strip_connection(&mut head.headers);
         Step::Done(Response::from_parts(head, Outgoing::whole(body.to_bytes())))
     }
 
@@ -401,8 +404,7 @@
         } = answer;
         let (mut head, body) = response.into_parts();
         let kept = Kept::of(&head.headers);
-        strip_hop_by_hop(&mut head.headers);
-        head.headers.remove(header::CONTENT_LENGTH);
+        strip_connection(&mut head.headers);
         let relay = Relay::new(self, body, link, running, kept);
         Response::from_parts(head, Outgoing::pieces(relay.into_pieces()))
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -251,8 +251,7 @@
 /// The headers without those of one connection and those that are ours to set.
 fn passed_on(headers: &HeaderMap, reserved: &[HeaderName]) -> HeaderMap {
     let mut passed = headers.clone();
-    strip_hop_by_hop(&mut passed);
-    passed.remove(header::CONTENT_LENGTH);
+    strip_connection(&mut passed);
     passed.remove(header::EXPECT);
     for name in reserved {
         passed.remove(name);
@@ -260,8 +259,9 @@
     passed
 }
 
-/// Removes what concerns one connection, and what `Connection` names.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+/// Removes what concerns one connection, what `Connection` names, and the
+/// length, which is stated anew on the next connection.
+pub(crate) fn strip_connection(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -269,11 +269,11 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    // A caller must not have the fields removed that frame or route it.
-    let kept = [header::HOST, header::CONTENT_LENGTH];
-    for name in named.iter().filter(|name| !kept.contains(name)) {
+    // A caller must not have the field removed that routes it.
+    for name in named.iter().filter(|name| **name != header::HOST) {
         headers.remove(name);
     }
+    headers.remove(header::CONTENT_LENGTH);
     for name in HOP_BY_HOP {
         headers.remove(name);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,11 +1,4 @@
-//! What gateways tell each other, by datagrams.
-//!
-//! A [`Word`] holds all that its sender has to say, so that a lost one is made
-//! up for by the next.  What was sent since goes out at once besides, since in
-//! the time between two words all gateways would place their requests at the
-//! same idle endpoint.  Nothing in a datagram is trusted beyond its bounds: it
-//! changes predictions, halts a roll-out, or makes this gateway ask for a newer
-//! configuration, and never what a request may do.
+//! The other gateways: who is known, who is heard, and what each said last.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -116,11 +109,13 @@
         !was_fresh
     }
 
-    /// Takes that a request was sent, to be told to the peers.
-    pub fn note_sent(&mut self, sent: Sent) {
-        if sent.tokens >= SENT_MIN_TOKENS && self.news.len() < SENT_MAX {
+    /// Takes that a request was sent; returns whether the peers are to hear.
+    pub fn note_sent(&mut self, sent: Sent) -> bool {
+        let told = sent.tokens >= SENT_MIN_TOKENS && self.news.len() < SENT_MAX;
+        if told {
             self.news.push(sent);
         }
+        told
     }
 
     /// Takes that a session is on a version, to be told to the peers.
@@ -138,8 +133,8 @@
         if peer.heard.is_none() || peer.word.born_ms != news.born_ms {
             return false;
         }
-        for (endpoint, _, tokens) in &news.sent {
-            peer.word.add_running(*endpoint, *tokens);
+        for sent in &news.sent {
+            peer.word.add_running(sent.endpoint, sent.tokens);
         }
         true
     }
@@ -247,15 +242,18 @@
     }
 
     /// What the peers are to hear at once, and who of them.
-    pub fn take_told(&mut self) -> (Vec<Sent>, Vec<(u64, u64)>, Vec<SocketAddr>) {
-        let sent = std::mem::take(&mut self.news);
-        let sessions = std::mem::take(&mut self.sessions);
-        let receivers = if sessions.is_empty() {
+    pub fn take_news_to_tell(&mut self, born_ms: u64) -> (News, Vec<SocketAddr>) {
+        let news = News {
+            born_ms,
+            sent: std::mem::take(&mut self.news),
+            sessions: std::mem::take(&mut self.sessions),
+        };
+        let receivers = if news.sessions.is_empty() {
             self.receivers()
         } else {
             self.rows.keys().copied().collect()
         };
-        (sent, sessions, receivers)
+        (news, receivers)
     }
 
     /// Who gets the word that is due; the next one goes to others.
@@ -274,6 +272,7 @@
         next.collect()
     }
 
+    /// The peers that a word tells of.
     pub fn told(&self, now: Millis) -> Vec<SocketAddr> {
         let heard = self.fresh(now).map(|(address, _)| address);
         heard.take(TOLD_PEERS_MAX).collect()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use route::Verdict;
 
 use crate::{
-    attempt::{Answer, Extra, Kept, Running, attempt, last_moment},
+    attempt::{Answer, Kept, Running, last_moment},
     body::{Cut, Pieces},
     dispatch::Dispatch,
     events::EventCutter,
@@ -183,18 +183,9 @@
                 return false;
             };
             let id = running.pick.endpoint.id.clone();
-            let model = dispatch.model().map(str::to_owned);
             dispatch.attempts += 1;
-            dispatch
-                .record
-                .attempted(&id, model.as_deref().unwrap_or("-"));
-            let extra = Extra {
-                model: model.as_deref(),
-                last_event: self.cutter.last_id(),
-            };
-            let sent =
-                attempt(&dispatch.gateway, &dispatch.job, running, extra, left_ms);
-            match sent.await {
+            let last_event = self.cutter.last_id();
+            match dispatch.attempt(running, last_event, left_ms).await {
                 Ok(answer) if answer.response.status() == StatusCode::OK => {
                     info!("event=stream_resumed endpoint={id} reason={reason}");
                     let (head, body) = answer.response.into_parts();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,7 +26,7 @@
 /// first attempt may never have arrived.
 const RETRY_MARGIN: f64 = 0.9;
 
-/// Time between looks for them, ms.
+/// Time between looks for a first configuration and endpoints, ms.
 const BELIEFS_LOOK_MS: u64 = 5;
 
 /// Sessions that are remembered.
@@ -142,14 +142,12 @@
     /// configuration and endpoints: both are a few calls to the log away, and a
     /// caller that is turned away comes back only after many times that.
     pub async fn first_beliefs(&self) {
-        let unknown =
-            || self.catalog.borrow().is_none() || self.pool.borrow().is_empty();
-        if !unknown() {
+        if self.has_beliefs() {
             return;
         }
         let limit = Duration::from_millis(self.settings.gateway.start_wait_ms);
         let known = async {
-            while unknown() {
+            while !self.has_beliefs() {
                 tokio::time::sleep(Duration::from_millis(BELIEFS_LOOK_MS)).await;
             }
         };
@@ -158,6 +156,11 @@
         }
     }
 
+    /// Whether a configuration and endpoints are known.
+    fn has_beliefs(&self) -> bool {
+        self.catalog.borrow().is_some() && !self.pool.borrow().is_empty()
+    }
+
     /// Decodes a configuration and puts it in force unless a newer one is.
     pub fn install(&self, record: &Bytes, source: &str) {
         let catalog = match platform::decode_catalog(record) {
@@ -199,12 +202,12 @@
         F: FnOnce(&mut RetryBudget) -> T,
     {
         let mut budgets = self.budgets.borrow_mut();
-        let settings = &self.settings.gateway;
-        let share = settings.retry_share * RETRY_MARGIN;
-        let window_ms = (settings.retry_window_s * 1_000.0) as u64;
-        let budget = budgets
-            .entry(service.to_owned())
-            .or_insert_with(|| RetryBudget::new(share).over(window_ms));
+        let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
+            let settings = &self.settings.gateway;
+            let share = settings.retry_share * RETRY_MARGIN;
+            let window_ms = (settings.retry_window_s * 1_000.0) as u64;
+            RetryBudget::new(share).over(window_ms)
+        });
         act(budget)
     }
 
@@ -271,7 +274,6 @@
 
     /// Whether new callers are welcome.
     pub fn is_ready(&self) -> bool {
-        let catalog = self.catalog.borrow().is_some();
-        catalog && !self.pool.borrow().is_empty() && self.draining_since().is_none()
+        self.has_beliefs() && self.draining_since().is_none()
     }
 }
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -3,13 +3,12 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use log::{info, warn};
-use route::Sent;
 use tokio::net::UdpSocket;
 
 use crate::{
     peers::WORD_EVERY_MS,
     state::Gateway,
-    words::{Datagram, News, RUNNING_MAX, UPGRADES_MAX, Word, decode},
+    words::{Datagram, RUNNING_MAX, UPGRADES_MAX, Word, decode},
 };
 
 /// Largest datagram, bytes: one Ethernet frame.
@@ -57,13 +56,8 @@
                 gateway.hold_session(session, version);
             }
             let mut pool = gateway.pool.borrow_mut();
-            for (endpoint, parts, tokens) in news.sent {
-                let sent = Sent {
-                    endpoint,
-                    parts,
-                    tokens,
-                };
-                pool.sent_elsewhere(&sent, now);
+            for sent in &news.sent {
+                pool.sent_elsewhere(sent, now);
             }
         }
         None => gateway.stats.count("peer_words", "malformed"),
@@ -72,19 +66,10 @@
 
 /// Tells what was sent since the last time.
 async fn tell_news(gateway: &Gateway, socket: &UdpSocket, born_ms: u64) {
-    let (sent, sessions, receivers) = {
-        let mut peers = gateway.peers.borrow_mut();
-        peers.take_told()
-    };
-    if sent.is_empty() && sessions.is_empty() {
+    let (news, receivers) = gateway.peers.borrow_mut().take_news_to_tell(born_ms);
+    if news.sent.is_empty() && news.sessions.is_empty() {
         return;
     }
-    let sent = sent.iter().map(|s| (s.endpoint, s.parts, s.tokens));
-    let news = News {
-        born_ms,
-        sent: sent.collect(),
-        sessions,
-    };
     send(gateway, socket, &Datagram::News(news), receivers).await;
 }
 
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -1,8 +1,16 @@
-//! The datagrams of gateways, and the bounds within which they are taken.
+//! What gateways tell each other, by datagrams, and the bounds within which
+//! these are taken.
+//!
+//! A [`Word`] holds all that its sender has to say, so that a lost one is made
+//! up for by the next.  [`News`] go out at once besides, since in the time
+//! between two words all gateways would place their requests at the same idle
+//! endpoint.  Nothing in a datagram is trusted beyond its bounds: it changes
+//! predictions, tells which version a session is on, halts a roll-out, or makes
+//! this gateway ask for a newer configuration, and never what a request may do.
 
 use std::net::SocketAddr;
 
-use route::Evidence;
+use route::{Evidence, Sent};
 use serde::{Deserialize, Serialize};
 
 /// Endpoints that one word tells of.
@@ -59,8 +67,8 @@
 pub struct News {
     /// Start of the sender, ms since 1970.
     pub born_ms: u64,
-    /// Endpoint, parts and tokens of each, as in [`route::Sent`].
-    pub sent: Vec<(u64, u64, u32)>,
+    /// The requests.
+    pub sent: Vec<Sent>,
     /// Digests of sessions, and of the versions that these are on.
     pub sessions: Vec<(u64, u64)>,
 }
@@ -127,7 +135,7 @@
     let sane = match &datagram {
         Datagram::Word(word) => word.is_sane(),
         Datagram::News(news) => {
-            let mut tokens = news.sent.iter().map(|(_, _, tokens)| *tokens);
+            let mut tokens = news.sent.iter().map(|sent| sent.tokens);
             news.sent.len() <= SENT_MAX
                 && news.sessions.len() <= SENT_MAX
                 && tokens.all(|tokens| tokens <= TOKENS_MAX)
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -11,6 +11,7 @@
 
 use catalog::{Endpoint, EndpointState};
 use clock::Millis;
+use serde::{Deserialize, Serialize};
 
 use crate::health::{Health, Verdict};
 
@@ -84,6 +85,19 @@
     pub versions: Versions<'a>,
 }
 
+impl Ask<'_> {
+    /// Tokens that an endpoint would have to read that has `cached` of them.
+    ///
+    /// What no gateway that is heard sent anywhere, another may have sent there:
+    /// so `likely` are the parts that nothing is known of.
+    fn uncached(&self, cached: u32, likely: f64) -> u32 {
+        let shared: u32 = shared_parts(self.parts).iter().map(|(_, n)| n).sum();
+        let unknown = shared.saturating_sub(cached);
+        let likely = (f64::from(unknown) * likely) as u32;
+        self.tokens_in.saturating_sub(cached + likely)
+    }
+}
+
 /// Which versions of a service may take a request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Versions<'a> {
@@ -152,7 +166,7 @@
 }
 
 /// A request that was sent, as gateways tell each other of it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Sent {
     /// Digest of the endpoint's id.
     pub endpoint: u64,
@@ -283,19 +297,23 @@
             .filter(|row| all || row.health.is_in(now))
             .collect();
         // The same order at every gateway: the first is the subject's home.
-        usable.sort_by_key(|row| row.rank(ask));
-        let shared = shared_parts(ask.parts);
-        let held = usable.iter().any(|row| row.cached(shared, ask, now) > 0);
+        usable.sort_by_cached_key(|row| row.rank(ask));
+        let parts = salted_parts(ask);
+        let usable: Vec<(&Row, u32)> = usable
+            .into_iter()
+            .map(|row| (row, row.cached(&parts, now)))
+            .collect();
+        let held = usable.iter().any(|(_, cached)| *cached > 0);
         let unheard = if held { [0.0; 2] } else { HOME_CACHED };
         usable
             .into_iter()
             .enumerate()
-            .map(|(place, row)| {
+            .map(|(place, (row, cached))| {
                 let likely = unheard.get(place).copied().unwrap_or(0.0);
-                let hoped = row.uncached(ask, likely, now);
+                let hoped = ask.uncached(cached, likely);
                 let weight = row.weight_ms(&self.costs, ask, hoped, now);
                 let uncached = match self.hearing {
-                    Hearing::All => row.uncached(ask, 0.0, now),
+                    Hearing::All => ask.uncached(cached, 0.0),
                     Hearing::Some => hoped,
                 };
                 (row, uncached, weight)
@@ -323,11 +341,7 @@
         let tokens = f64::from(uncached_tokens) * ask.pace;
         row.running += 1;
         row.reading_tokens += tokens;
-        let keyed = ask
-            .parts
-            .iter()
-            .map(|(digest, _)| salted(*digest, ask.model));
-        row.hold(keyed, now);
+        row.hold(salted_parts(ask).into_iter().map(|(part, _)| part), now);
         Some(Sent {
             endpoint: row.digest,
             parts: salted(subject(ask.parts)?, ask.model),
@@ -441,12 +455,12 @@
         }
     }
 
-    /// Tokens of `parts` that it was sent before.
+    /// Tokens of the salted `parts` that it was sent before.
     ///
     /// A part's digest is over all before it, which it holds as well then.
-    fn cached(&self, parts: &[(u64, u32)], ask: &Ask<'_>, now: Millis) -> u32 {
-        let known = |(digest, _): &(u64, u32)| {
-            let used = self.parts.get(&salted(*digest, ask.model));
+    fn cached(&self, parts: &[(u64, u32)], now: Millis) -> u32 {
+        let known = |(part, _): &(u64, u32)| {
+            let used = self.parts.get(part);
             used.is_some_and(|used| now.since(*used) < CACHED_FOR_MS)
         };
         let last = parts.iter().rposition(known);
@@ -454,18 +468,6 @@
         held.iter().map(|(_, tokens)| tokens).sum()
     }
 
-    /// Tokens that it would have to read.
-    ///
-    /// What no gateway that is heard sent anywhere, another may have sent here:
-    /// so `likely` are the parts that nothing is known of.
-    fn uncached(&self, ask: &Ask<'_>, likely: f64, now: Millis) -> u32 {
-        let cached = self.cached(ask.parts, ask, now);
-        let shared: u32 = shared_parts(ask.parts).iter().map(|(_, n)| n).sum();
-        let unknown = shared.saturating_sub(cached);
-        let likely = (f64::from(unknown) * likely) as u32;
-        ask.tokens_in.saturating_sub(cached + likely)
-    }
-
     fn wait_ms(&self, costs: &Costs, ask: &Ask<'_>, uncached: u32) -> f64 {
         let own = self.reading_tokens + f64::from(uncached) * ask.pace;
         let reading = own + self.elsewhere_tokens;
@@ -530,6 +532,13 @@
         .fold(0, |digest, byte| mix(digest ^ u64::from(byte)))
 }
 
+/// The parts of a prompt as the asked model caches them.
+fn salted_parts(ask: &Ask<'_>) -> Vec<(u64, u32)> {
+    let parts = ask.parts.iter();
+    let salted = parts.map(|(digest, tokens)| (salted(*digest, ask.model), *tokens));
+    salted.collect()
+}
+
 fn salted(digest: u64, model: &str) -> u64 {
     model
         .bytes()
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -2,7 +2,7 @@
 
 use gateway::{Datagram, EventCutter, News, UpgradeWord, Word, decode};
 use proptest::prelude::*;
-use route::Evidence;
+use route::{Evidence, Sent};
 
 proptest! {
     /// However the bytes come, what is given out are whole events in order.
@@ -82,10 +82,15 @@
 
 #[test]
 fn news_of_absurd_requests_is_none() {
+    let sent = |tokens| Sent {
+        endpoint: 1,
+        parts: 2,
+        tokens,
+    };
     let news = |count, tokens| {
         Datagram::News(News {
             born_ms: 1,
-            sent: vec![(1, 2, tokens); count],
+            sent: vec![sent(tokens); count],
             sessions: vec![(3, 4); count],
         })
     };
