Let reads of the log wait longer in a large fleet; keep idle connections within the endpoint's limit

Gateways kept up to 16 idle connections to each endpoint: 28 of them fill a limit of 230, and new connections of requests that run at most once were reset after the request was sent (35 of 2,209 answered 502 on the grown booking fleet).

Change: waits grow with the number of peers heard, up to 8 s, drawn so that reads do not start together; the first that reads something new makes the others start again, as before. Delays after failures grow likewise, and end when a peer can read the log. Idle connections: two fifths of the endpoint's limit, shared by the gateways heard. PEERS_MAX 64 was below the 79 gateways of the large site: 1,000.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -163,7 +163,8 @@
         let now = gateway.now();
         let address = in_flight.pick.endpoint.address;
         let mut connections = gateway.idle_connections.borrow_mut();
-        connections.keep(address, connection, timeout_s, now);
+        let idle_max = gateway.idle_max(&in_flight.pick.endpoint.service);
+        connections.keep(address, connection, idle_max, timeout_s, now);
     }
 }
 
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -19,13 +19,6 @@
 /// Interval of checks for lagging topics and expired entries, ms.
 const TICK_MS: u64 = 250;
 
-/// Factor by which a read of the status topic waits longer than the others.
-///
-/// A dead connection is detected only when its read times out, so the wait bounds
-/// how outdated a gateway's state can be while the log is available. A delayed
-/// status only prolongs a rollout, so its topic can wait longer.
-const STATUS_WAIT_FACTOR: u64 = 5;
-
 /// Delay after a change of endpoints in which further changes are collected,
 /// ms. A leaving endpoint keeps serving for several times that.
 const ENDPOINT_BATCH_MS: u64 = 200;
@@ -39,35 +32,32 @@
 
 /// Starts a follower for each topic, and the periodic checks.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
-    let wait_ms = gateway.settings.store.poll_wait_ms;
-    let topics = [
-        (OPERATOR_TOPIC, wait_ms),
-        (ENDPOINT_TOPIC, wait_ms),
-        (STATUS_TOPIC, wait_ms * STATUS_WAIT_FACTOR),
-    ];
-    for (topic, wait_ms) in topics {
-        tokio::task::spawn_local(follow(gateway.clone(), topic, wait_ms));
+    for topic in [OPERATOR_TOPIC, ENDPOINT_TOPIC, STATUS_TOPIC] {
+        tokio::task::spawn_local(follow(gateway.clone(), topic));
     }
     tokio::task::spawn_local(tick(gateway.clone()));
 }
 
-async fn follow(gateway: Rc<Gateway>, topic: &'static str, wait_ms: u64) {
+async fn follow(gateway: Rc<Gateway>, topic: &'static str) {
     let settings = &gateway.settings.store;
     let client = LogClient::new(settings.address, settings.timeout_ms);
     let on_event = |event| apply_event(&gateway, topic, event);
     let never = Notify::new();
-    let (pause_ms, stale) = match topic {
-        OPERATOR_TOPIC => (0, &gateway.operator_stale),
-        ENDPOINT_TOPIC => (ENDPOINT_BATCH_MS, &gateway.endpoints_stale),
-        _ => (0, &never),
+    let (pause_ms, stale, pacing) = match topic {
+        OPERATOR_TOPIC => (0, &gateway.operator_stale, &gateway.pacing),
+        ENDPOINT_TOPIC => {
+            (ENDPOINT_BATCH_MS, &gateway.endpoints_stale, &gateway.pacing)
+        }
+        _ => (0, &never, &gateway.status_pacing),
     };
+    let wait_ms = pacing.longest_wait_ms();
     info!(
         "event=following topic={topic} wait_ms={wait_ms} timeout_ms={} pause_ms={pause_ms}",
         settings.timeout_ms
     );
     let follow = FollowOptions {
         topic,
-        wait_ms,
+        pacing,
         batch_delay_ms: pause_ms,
         restart_read: stale,
     };
@@ -105,9 +95,11 @@
 async fn tick(gateway: Rc<Gateway>) {
     let mut operator = TopicLag::default();
     let mut endpoints = TopicLag::default();
+    let mut nudged = Millis::default();
     loop {
         tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
         let now = gateway.now();
+        restart_slow_reads(&gateway, &mut nudged, now);
         let own = gateway.log_positions.get();
         let furthest = gateway.peers.borrow().furthest_log_positions(now);
         if operator.is_due(own.operator, furthest.operator, now) {
@@ -124,6 +116,26 @@
     }
 }
 
+/// Adapts the pace of the calls to the number of peers, and ends waits that are too
+/// long: for a fleet that has become smaller, or after an outage that is over for the
+/// peers.
+fn restart_slow_reads(gateway: &Gateway, nudged: &mut Millis, now: Millis) {
+    let (heard, log_is_back) = {
+        let peers = gateway.peers.borrow();
+        let heard = peers.fresh_statuses(now).count();
+        let readers = peers.fresh_statuses(now).filter(|(_, s)| s.can_read_log);
+        (heard, gateway.log_lost.get() && readers.count() > 0)
+    };
+    gateway.status_pacing.set_peers(heard);
+    let too_long = gateway.pacing.set_peers(heard);
+    let due = log_is_back && now.since(*nudged) >= REREAD_INTERVAL_MS;
+    if too_long || due {
+        *nudged = now;
+        gateway.operator_stale.notify_one();
+        gateway.endpoints_stale.notify_one();
+    }
+}
+
 fn apply_event(gateway: &Gateway, topic: &str, event: KeyedEvent) {
     match event {
         KeyedEvent::Changed {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
     decode_datagram,
 };
 pub use event_framer::EventFramer;
+pub use idle_connections::idle_max;
 use state::Gateway;
 
 /// The bound sockets of a gateway.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -30,7 +30,7 @@
 const FANOUT_MAX: usize = 8;
 
 /// Maximum number of tracked peers; those in the settings are always tracked.
-const PEERS_MAX: usize = 64;
+const PEERS_MAX: usize = 1_000;
 
 /// Minimum sequence number of a peer's status for fetching its configuration, or for
 /// believing that a rollout has ended, so that one stray datagram is not enough. The number is the sender's own.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,12 +17,16 @@
     Costs, FirstSize, Pool, RetryBudget, RolloutStatuses, SizeSettings, digest_text,
 };
 use settings::{FirstModel, Settings};
-use store::LogPosition;
+use store::{LogPosition, ReadPacing};
 use tokio::sync::Notify;
 
 use crate::{
-    datagram::LogPositions, idle_connections::IdleConnections,
-    latency::LatencyBaselines, peers::Peers, rollouts::Rollout, stats::Stats,
+    datagram::LogPositions,
+    idle_connections::{IdleConnections, idle_max},
+    latency::LatencyBaselines,
+    peers::Peers,
+    rollouts::Rollout,
+    stats::Stats,
 };
 
 /// Fraction of the allowed retries that a gateway uses, since a counted first
@@ -32,6 +36,13 @@
 /// Interval of checks for a first configuration and endpoints, ms.
 const INITIAL_STATE_POLL_MS: u64 = 5;
 
+/// Factor by which a read of the status topic waits longer than the others.
+///
+/// A dead connection is detected only when its read times out, so the wait bounds
+/// how outdated a gateway's state can be while the log is available. A delayed
+/// status only prolongs a rollout, so its topic can wait longer.
+const STATUS_WAIT_FACTOR: u64 = 5;
+
 /// Maximum number of sessions whose version is tracked.
 const SESSIONS_MAX: usize = 20_000;
 
@@ -59,6 +70,10 @@
     pub status_end: Cell<LogPosition>,
     /// Positions up to which the operators' and the endpoints' topics have been read.
     pub log_positions: Cell<LogPositions>,
+    /// Times between the calls to the log.
+    pub pacing: ReadPacing,
+    /// Like [`Gateway::pacing`], for the status topic.
+    pub status_pacing: ReadPacing,
     /// Notified when peers are ahead on the operators' topic.
     pub operator_stale: Notify,
     /// Notified when peers are ahead on the endpoints' topic.
@@ -105,8 +120,11 @@
             running_ms: f64::from(routing.running_us) / 1_000.0,
             prefill_weight: f64::from(routing.read_weight_percent) / 100.0,
         });
+        let wait_ms = settings.store.poll_wait_ms;
         Gateway {
             settings,
+            pacing: ReadPacing::new(wait_ms),
+            status_pacing: ReadPacing::new(wait_ms * STATUS_WAIT_FACTOR),
             names: platform::header_names(),
             clock,
             sizes,
@@ -200,6 +218,18 @@
         *self.catalog_record.borrow_mut() = record.clone();
     }
 
+    /// Returns how many idle connections this gateway keeps to an endpoint of
+    /// `service`.
+    pub fn idle_max(&self, service: &str) -> usize {
+        let catalog = self.catalog();
+        let service = catalog
+            .as_ref()
+            .and_then(|catalog| catalog.service(service));
+        let connections_max = service.map_or(0, |service| service.connections_max);
+        let gateways = self.peers.borrow().fresh_statuses(self.now()).count() + 1;
+        idle_max(connections_max, gateways)
+    }
+
     /// Counts a first attempt at a service.
     pub fn count_first_attempt(&self, service: &str) {
         let now = self.now();
--- a/crates/store/src/keyed_follow.rs
+++ b/crates/store/src/keyed_follow.rs
@@ -7,14 +7,13 @@
 use rand::RngExt;
 use tokio::sync::Notify;
 
-use crate::{KeyedChange, KeyedLog, KeyedPage, KeyedTable, LogPosition, StoreError};
+use crate::{
+    KeyedChange, KeyedLog, KeyedPage, KeyedTable, LogPosition, ReadPacing, StoreError,
+};
 
-/// Initial retry delay, ms; doubles with each failure up to [`RETRY_MAX_MS`].
+/// Initial retry delay, ms; doubles with each failure.
 const RETRY_MS: u64 = 100;
 
-/// Maximum retry delay, ms.
-const RETRY_MAX_MS: u64 = 700;
-
 /// Event reported by [`follow_keyed`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum KeyedEvent {
@@ -52,13 +51,14 @@
 pub struct FollowOptions<'a> {
     /// Topic.
     pub topic: &'a str,
-    /// Maximum time for which a read waits for new records, ms.
-    pub wait_ms: u64,
+    /// Times between the calls.
+    pub pacing: &'a ReadPacing,
     /// Delay after a read with records, ms, so that the next read returns more of
-    /// them at once.
+    /// them at once; longer in a large fleet.
     pub batch_delay_ms: u64,
     /// Notified when peers have read further than this follower, whose connection
-    /// has probably gone silent; the pending read is then restarted.
+    /// has probably gone silent, or can read the log while it cannot; the pending
+    /// read or the delay before the next one then ends.
     pub restart_read: &'a Notify,
 }
 
@@ -73,6 +73,7 @@
 
 struct Follower<'a, C, F> {
     topic: &'a str,
+    pacing: &'a ReadPacing,
     clock: &'a C,
     on_event: F,
     table: KeyedTable,
@@ -101,6 +102,7 @@
     let topic = options.topic;
     let mut follower = Follower {
         topic,
+        pacing: options.pacing,
         clock,
         on_event,
         table: KeyedTable::default(),
@@ -111,11 +113,12 @@
         retry_ms: RETRY_MS,
     };
     loop {
+        let wait_ms = options.pacing.draw_wait_ms(&mut rand::rng());
         let end = follower.table.end();
         let read = match follower.next {
             Next::Listing => log.newest(topic).await,
             Next::Records => tokio::select! {
-                read = log.read(topic, end.offset, options.wait_ms) => read,
+                read = log.read(topic, end.offset, wait_ms) => read,
                 () = options.restart_read.notified() => {
                     info!("event=log_read_again topic={topic} end={end} reason=peers_know_more");
                     continue;
@@ -127,7 +130,11 @@
             Err(err) => follower.record_error(&err),
         };
         if delay_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            let delay = tokio::time::sleep(Duration::from_millis(delay_ms));
+            tokio::select! {
+                () = delay => {}
+                () = options.restart_read.notified() => {}
+            }
         }
     }
 }
@@ -175,7 +182,11 @@
         // the records appended meanwhile.
         self.next = Next::Records;
         self.listed_once = true;
-        if has_new_records { batch_delay_ms } else { 0 }
+        if has_new_records {
+            self.pacing.batch_delay_ms(batch_delay_ms)
+        } else {
+            0
+        }
     }
 
     fn record_recovery(&mut self) {
@@ -239,7 +250,7 @@
     fn retry_delay_ms(&mut self) -> u64 {
         // Jitter keeps processes that start together from retrying together.
         let delay_ms = rand::rng().random_range(self.retry_ms / 2..=self.retry_ms);
-        self.retry_ms = (self.retry_ms * 2).min(RETRY_MAX_MS);
+        self.retry_ms = (self.retry_ms * 2).min(self.pacing.retry_max_ms());
         delay_ms
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,6 +10,7 @@
 mod keyed;
 mod keyed_follow;
 mod live;
+mod read_pacing;
 mod view;
 
 pub use client::{Page, Record, Store};
@@ -20,6 +21,7 @@
 };
 pub use keyed_follow::{FollowOptions, KeyedEvent, follow_keyed};
 pub use live::{Instance, InstanceList, InstanceState, Role};
+pub use read_pacing::ReadPacing;
 pub use view::{ConfigHealth, ConfigUpdate, ConfigView};
 
 /// Stream of bills.
--- a/tests/keyed.rs
+++ b/tests/keyed.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use store::{
     FollowOptions, KeyedChange, KeyedEvent, KeyedLog, KeyedPage, KeyedRecord,
-    KeyedTable, LogPosition, StoreError, follow_keyed,
+    KeyedTable, LogPosition, ReadPacing, StoreError, follow_keyed,
 };
 use tokio::sync::Notify;
 
@@ -267,7 +267,7 @@
     let restart = Notify::new();
     let options = FollowOptions {
         topic: "t",
-        wait_ms: 1_000,
+        pacing: &ReadPacing::new(1_000),
         batch_delay_ms: 0,
         restart_read: &restart,
     };
