Expect a prefix at its first ranks also where peers' dispatches are known in part

Cause: with more than eight peers a gateway learns of a part of the dispatches; as soon as it knew one engine that had read a prefix, it expected it nowhere else, and gateways that knew of different engines kept to these.

--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -145,7 +145,12 @@
             .map(|stats| (stats, stats.cached_tokens(&parts, now)))
             .collect();
         let any_cached = usable.iter().any(|(_, cached)| *cached > 0);
-        let priors = if any_cached { [0.0; 2] } else { CACHED_PRIOR };
+        let all_known = self.peer_coverage == PeerCoverage::Complete;
+        let priors = if any_cached && all_known {
+            [0.0; 2]
+        } else {
+            CACHED_PRIOR
+        };
         usable
             .into_iter()
             .enumerate()
