Track each endpoint's load at one gateway, which is asked before a prompt is sent

Cause: at 68 gateways each sends 1.5% of the requests and hears of the others' with an age of up to 1.8 s, longer than an engine's queue lasts.

Change: the gateway that tracks an endpoint is chosen by rendezvous hashing among those heard; it is told of each run's start, end of prefill and end, and answers questions about load and cached prefix within 10 ms, else the asker uses what it knows. Candidates are the first three ranks of the prefix and two others. Only with more than eight peers; update datagrams to eight peers end there.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,9 +12,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use link::{Connection, ConnectionError};
-use route::{HealthSample, Pick, PickRequest};
+use route::{HealthSample, Pick, PickRequest, Pool, RunKey};
 
-use crate::{caller_request::CallerRequest, endpoint_state, state::Gateway};
+use crate::{
+    caller_request::CallerRequest, datagram::RunEvent, endpoint_state, state::Gateway,
+};
 
 /// Timeout for a new connection to an endpoint, ms.
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -64,6 +66,10 @@
     pub pick: Pick,
     pace: f64,
     prefilling: bool,
+    /// Digest of the endpoint's id.
+    endpoint_digest: u64,
+    /// Identifies the run at the endpoint's tracker; `None` if it is not tracked.
+    run: Option<RunKey>,
 }
 
 impl InFlight {
@@ -72,7 +78,16 @@
         let id = &pick.endpoint.id;
         let mut pool = gateway.pool.borrow_mut();
         let sent = pool.record_dispatch(id, request, pick.uncached_tokens, now);
+        let endpoint_digest = pool.digest_of(id).unwrap_or_default();
         drop(pool);
+        let run = (!request.parts.is_empty()).then(|| gateway.load.next_run());
+        if let Some(key) = run {
+            let event = RunEvent::Started {
+                tokens: (f64::from(pick.uncached_tokens) * request.pace) as u32,
+                prefixes: Pool::shared_prefixes(request),
+            };
+            gateway.report_run(endpoint_digest, key, event);
+        }
         if sent.is_some_and(|sent| gateway.peers.borrow_mut().queue_dispatch(sent)) {
             gateway.update_pending.notify_one();
         }
@@ -81,6 +96,8 @@
             pace: request.pace,
             pick,
             prefilling: true,
+            endpoint_digest,
+            run,
         }
     }
 
@@ -94,6 +111,11 @@
                 self.pick.uncached_tokens,
                 self.pace,
             );
+            drop(pool);
+            if let Some(key) = self.run {
+                let gateway = &self.gateway;
+                gateway.report_run(self.endpoint_digest, key, RunEvent::PrefillEnded);
+            }
         }
     }
 
@@ -132,7 +154,13 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        // The end implies that of the prefill for the tracker.
+        let run = self.run.take();
         self.record_prefill_end();
+        if let Some(key) = run {
+            let gateway = &self.gateway;
+            gateway.report_run(self.endpoint_digest, key, RunEvent::Ended);
+        }
         self.gateway
             .pool
             .borrow_mut()
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 
 use catalog::RolloutState;
-use route::{DispatchNotice, DrainNotice, Evidence};
+use route::{DispatchNotice, DrainNotice, Evidence, RunKey, TrackedLoad};
 use serde::{Deserialize, Serialize};
 use store::LogPosition;
 
@@ -33,6 +33,9 @@
 /// update.
 pub(crate) const DISPATCHES_MAX: usize = 32;
 
+/// Maximum number of endpoints, and of parts of a prompt, in one question.
+const QUERIED_MAX: usize = 16;
+
 /// Maximum evidence count that is accepted from one peer, so that one faulty
 /// datagram cannot outweigh all other evidence.
 pub(crate) const COUNT_MAX: u64 = 100_000;
@@ -98,6 +101,59 @@
     Status(PeerStatus),
     /// Requests and sessions since the last update.
     Update(PeerUpdate),
+    /// Asks for the load of endpoints that the receiver tracks.
+    LoadQuestion(LoadQuestion),
+    /// Answers a [`LoadQuestion`].
+    LoadAnswer(LoadAnswer),
+    /// Tells of a run at an endpoint that the receiver tracks.
+    LoadReport(LoadReport),
+}
+
+/// Asks for the load of endpoints before a request is sent to one of them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadQuestion {
+    /// Number that the answer repeats.
+    pub number: u64,
+    /// Digests of the endpoints' ids.
+    pub endpoints: Vec<u64>,
+    /// Salted digests of the shared parts of the request's prompt, in order.
+    pub prefixes: Vec<u64>,
+}
+
+/// The load of endpoints that the sender tracks.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadAnswer {
+    /// Number of the question.
+    pub number: u64,
+    /// Load by digest of the endpoint's id.
+    pub loads: Vec<(u64, TrackedLoad)>,
+}
+
+/// What happened to a run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// The run.
+    pub key: RunKey,
+    /// What happened.
+    pub event: RunEvent,
+}
+
+/// An event in the life of a run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RunEvent {
+    /// The request was sent to the endpoint.
+    Started {
+        /// Prompt tokens to process, scaled by the model's pace.
+        tokens: u32,
+        /// Salted digests of the shared parts of the prompt, in order.
+        prefixes: Vec<u64>,
+    },
+    /// The endpoint has processed the prompt.
+    PrefillEnded,
+    /// The request ended.
+    Ended,
 }
 
 /// Requests and sessions that are announced to the peers immediately.
@@ -182,6 +238,17 @@
                 && update.draining.len() <= DISPATCHES_MAX
                 && tokens.all(|tokens| tokens <= TOKENS_MAX)
         }
+        Datagram::LoadQuestion(question) => {
+            question.endpoints.len() <= QUERIED_MAX
+                && question.prefixes.len() <= QUERIED_MAX
+        }
+        Datagram::LoadAnswer(answer) => answer.loads.len() <= QUERIED_MAX,
+        Datagram::LoadReport(report) => match &report.event {
+            RunEvent::Started { tokens, prefixes } => {
+                *tokens <= TOKENS_MAX && prefixes.len() <= QUERIED_MAX
+            }
+            RunEvent::PrefillEnded | RunEvent::Ended => true,
+        },
     };
     sane.then_some(datagram)
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -313,7 +313,7 @@
             return self.read_complete(answer).await;
         }
         self.attempts += 1;
-        match self.escalation_size(&answer) {
+        match self.escalation_size(&answer).await {
             Some(size) => AttemptOutcome::Escalate(size, Box::new(answer)),
             None => AttemptOutcome::Stream(Box::new(answer)),
         }
@@ -379,7 +379,7 @@
                 req.session,
                 req.sampling_key,
             );
-            let in_flight = self.pick_endpoint(None);
+            let in_flight = self.pick_endpoint(None).await;
             if in_flight.is_some() {
                 return in_flight;
             }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use clock::Millis;
 use log::{info, warn};
 use tokio::net::UdpSocket;
 
@@ -16,6 +17,8 @@
 
 /// Sends and receives datagrams for as long as the process runs.
 pub(crate) async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    gateway.load.set_socket(socket.clone());
     let incarnation_ms = gateway.incarnation_ms();
     let mut sequence = 0;
     let mut buffer = [0; DATAGRAM_MAX_BYTES];
@@ -68,10 +71,28 @@
                 }
             }
         }
+        Some(load) => receive_load(gateway, &load, from, now),
         None => gateway.stats.count("peer_words", "malformed"),
     }
 }
 
+/// Handles the datagrams of the exchange with trackers; those of a sender that was not
+/// heard are ignored.
+fn receive_load(gateway: &Gateway, datagram: &Datagram, from: SocketAddr, now: Millis) {
+    if !gateway.peers.borrow().is_fresh(from, now) {
+        gateway.stats.count("peer_words", "unknown_sender");
+        return;
+    }
+    match datagram {
+        Datagram::LoadQuestion(question) => {
+            gateway.answer_load_question(from, question);
+        }
+        Datagram::LoadAnswer(answer) => gateway.record_load_answer(answer),
+        Datagram::LoadReport(report) => gateway.record_load_report(report, now),
+        Datagram::Status(_) | Datagram::Update(_) => {}
+    }
+}
+
 /// Sends the queued update, if there is one.
 async fn send_update(gateway: &Gateway, socket: &UdpSocket, incarnation_ms: u64) {
     let (update, receivers) = gateway.peers.borrow_mut().drain_update(incarnation_ms);
@@ -111,6 +132,7 @@
         (status, peers.next_receivers())
     };
     gateway.update_peer_load(now);
+    gateway.load.tracker.borrow_mut().expire(now);
     send(gateway, socket, &Datagram::Status(status), receivers).await;
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod idle_connections;
 mod internal_server;
 mod latency;
+mod load_query;
 mod peers;
 mod placement;
 mod relay;
@@ -37,8 +38,8 @@
 };
 
 pub use datagram::{
-    Datagram, LogPositions, PeerStatus, PeerUpdate, RolloutEnd, RolloutReport,
-    decode_datagram,
+    Datagram, LoadAnswer, LoadQuestion, LoadReport, LogPositions, PeerStatus,
+    PeerUpdate, RolloutEnd, RolloutReport, RunEvent, decode_datagram,
 };
 pub use event_framer::EventFramer;
 pub use idle_connections::idle_max;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,9 @@
 };
 
 use clock::Millis;
-use route::{DispatchNotice, DrainNotice, PeerCoverage};
+use route::{
+    DispatchNotice, DrainNotice, PeerCoverage, digest_text, rendezvous_weight,
+};
 use store::LogPosition;
 
 use crate::datagram::{
@@ -40,6 +42,11 @@
 /// before the next status.
 const UPDATE_MIN_TOKENS: u32 = 500;
 
+/// Returns the weight of a gateway as the tracker of an endpoint.
+fn weight(gateway: SocketAddr, endpoint_digest: u64) -> u64 {
+    rendezvous_weight(digest_text(&gateway.to_string()), endpoint_digest)
+}
+
 #[derive(Debug)]
 struct Peer {
     configured: bool,
@@ -125,7 +132,9 @@
     /// Queues a request for the next update if it has at least [`UPDATE_MIN_TOKENS`]
     /// and the update is not full; returns whether it was queued.
     pub fn queue_dispatch(&mut self, sent: DispatchNotice) -> bool {
-        let queued = sent.tokens >= UPDATE_MIN_TOKENS
+        // In a large fleet the endpoint's tracker is told instead.
+        let queued = self.coverage() == PeerCoverage::Complete
+            && sent.tokens >= UPDATE_MIN_TOKENS
             && self.pending_dispatches.len() < DISPATCHES_MAX;
         if queued {
             self.pending_dispatches.push(sent);
@@ -254,6 +263,26 @@
             .is_some_and(|own| lowest.is_none_or(|lowest| own < lowest))
     }
 
+    /// Returns the gateway that tracks an endpoint, given by the digest of its id;
+    /// `None` if it is this one. Gateways that hear the same peers agree on it.
+    pub fn tracker(&self, endpoint_digest: u64, now: Millis) -> Option<SocketAddr> {
+        let own = self
+            .own
+            .map(|address| (weight(address, endpoint_digest), None));
+        let peers = self.fresh_statuses(now).map(|(address, _)| address);
+        let peers = peers.map(|peer| (weight(peer, endpoint_digest), Some(peer)));
+        let chosen = own
+            .into_iter()
+            .chain(peers)
+            .max_by_key(|(weight, _)| *weight);
+        chosen.and_then(|(_, tracker)| tracker)
+    }
+
+    /// Whether `from` has been heard recently.
+    pub fn is_fresh(&self, from: SocketAddr, now: Millis) -> bool {
+        self.fresh_statuses(now).any(|(address, _)| address == from)
+    }
+
     /// Sums the peers' requests and their unprocessed tokens by digest of the
     /// endpoint's id.
     pub fn load(&self, now: Millis) -> HashMap<u64, (u32, u32)> {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -14,17 +14,17 @@
 
 impl Dispatch {
     /// Picks an endpoint; a resumed stream requires one of `version`.
-    pub fn pick_endpoint(&self, version: Option<&str>) -> Option<InFlight> {
+    pub async fn pick_endpoint(&self, version: Option<&str>) -> Option<InFlight> {
         let versions = match version {
             Some(version) => VersionFilter::Only(version),
             None => self.assignment.versions(),
         };
         let request = self.pick_request(self.size, versions);
-        let pick = self
-            .gateway
-            .pool
-            .borrow()
-            .pick(&request, self.gateway.now())?;
+        let loads = self.gateway.ask_loads(&request).await;
+        let now = self.gateway.now();
+        let pool = self.gateway.pool.borrow();
+        let pick = pool.pick_tracked(&request, &loads, now)?;
+        drop(pool);
         Some(InFlight::new(&self.gateway, pick, &request))
     }
 
@@ -124,7 +124,7 @@
 
     /// Returns the larger model size to try instead of forwarding `answer`, if
     /// any.
-    pub fn escalation_size(&self, answer: &Answer) -> Option<usize> {
+    pub async fn escalation_size(&self, answer: &Answer) -> Option<usize> {
         let route = self.req.route();
         let can_retry =
             route.retry_safety.is_retryable() && self.attempts < route.attempts_max;
@@ -143,7 +143,7 @@
         let size = escalation_size(self.size, sizes, confidence, settings)?;
         let now = self.gateway.now();
         let elapsed_ms = now.since(self.req.started);
-        let predicted_ms = self.predicted_ms(size);
+        let predicted_ms = self.predicted_ms(size).await;
         let objective_ms = route.objective_ms;
         let left_ms = self.req.left_ms(now);
         let in_time = predicted_ms.is_some_and(|predicted_ms| {
@@ -171,10 +171,11 @@
 
     /// Predicts the time to the first event of the model of `size`, ms; `None`
     /// if no endpoint is available.
-    fn predicted_ms(&self, size: usize) -> Option<u64> {
+    async fn predicted_ms(&self, size: usize) -> Option<u64> {
         let request = self.pick_request(size, self.assignment.versions());
+        let loads = self.gateway.ask_loads(&request).await;
         let pool = self.gateway.pool.borrow();
-        let pick = pool.pick(&request, self.gateway.now());
+        let pick = pool.pick_tracked(&request, &loads, self.gateway.now());
         pick.map(|pick| pick.wait_ms)
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -195,7 +195,7 @@
             if !can_retry || left_ms == 0 {
                 return false;
             }
-            let Some(in_flight) = dispatch.pick_endpoint(Some(&endpoint.version))
+            let Some(in_flight) = dispatch.pick_endpoint(Some(&endpoint.version)).await
             else {
                 return false;
             };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
     datagram::LogPositions,
     idle_connections::{IdleConnections, idle_max},
     latency::LatencyBaselines,
+    load_query::LoadExchange,
     peers::Peers,
     rollouts::Rollout,
     stats::Stats,
@@ -56,6 +57,8 @@
     /// Settings of the choice among a route's candidate models.
     pub sizes: SizeSettings,
     pub pool: RefCell<Pool>,
+    /// Exchange of the endpoints' load with the gateways that track it.
+    pub load: LoadExchange,
     pub idle_connections: RefCell<IdleConnections>,
     pub stats: Stats,
     pub peers: RefCell<Peers>,
@@ -129,6 +132,7 @@
             clock,
             sizes,
             pool: RefCell::new(pool),
+            load: LoadExchange::new(),
             idle_connections: RefCell::default(),
             stats: Stats::default(),
             peers: RefCell::new(peers),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod cascade;
 mod health;
+mod load_tracker;
 mod objective;
 mod pause;
 mod pool;
@@ -23,11 +24,12 @@
 pub use admission::{Admission, AdmissionError, PoolCapacity};
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
 pub use health::{Health, HealthSample};
+pub use load_tracker::{LoadTracker, RunKey, TrackedLoad};
 pub use objective::Weights;
 pub use pause::{WaitBounds, is_worth_waiting};
 pub use pool::{
     AnnouncedAt, Costs, DispatchNotice, DrainNotice, PeerCoverage, Pick, PickRequest,
-    Pool, VersionFilter, digest_text, prefix_digests,
+    Pool, TrackedLoads, VersionFilter, digest_text, prefix_digests, rendezvous_weight,
 };
 pub use retry::RetryBudget;
 pub use rollout::{GateDecision, GateSample, GateSettings, RolloutGate};
--- a/crates/route/src/pool/endpoint_stats.rs
+++ b/crates/route/src/pool/endpoint_stats.rs
@@ -9,7 +9,7 @@
     AnnouncedAt, Costs, PickRequest,
     prefix::{digest_text, mix, salted, shared_prefix},
 };
-use crate::health::Health;
+use crate::{health::Health, load_tracker::TrackedLoad};
 
 /// Assumed service time of a request to a plain (non-engine) service, ms.
 const PLAIN_SERVICE_MS: f64 = 20.0;
@@ -18,11 +18,29 @@
 const CROSS_DOMAIN_MS: f64 = 2.0;
 
 /// Time for which a prefix is assumed to stay in an engine's cache, ms.
-const PREFIX_TTL_MS: u64 = 12_000;
+pub(crate) const PREFIX_TTL_MS: u64 = 12_000;
 
 /// Maximum number of prefixes remembered per endpoint.
 const PREFIXES_MAX: usize = 512;
 
+/// Requests at an endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Load {
+    /// Requests in progress.
+    pub running: f64,
+    /// Their prompt tokens still in prefill, scaled by pace.
+    pub prefill_tokens: f64,
+}
+
+impl From<TrackedLoad> for Load {
+    fn from(tracked: TrackedLoad) -> Self {
+        Load {
+            running: f64::from(tracked.running),
+            prefill_tokens: f64::from(tracked.prefill_tokens),
+        }
+    }
+}
+
 /// What a gateway knows about one endpoint.
 #[derive(Clone, Debug)]
 pub(super) struct EndpointStats {
@@ -112,15 +130,24 @@
         cached.iter().map(|(_, tokens)| tokens).sum()
     }
 
+    /// Returns the load that this gateway knows of: its own, and what peers reported.
+    pub fn known_load(&self) -> Load {
+        Load {
+            running: f64::from(self.running + self.peer_requests),
+            prefill_tokens: self.prefill_tokens + self.peer_prefill_tokens,
+        }
+    }
+
+    /// Returns the predicted time to the first event of a response, ms.
     pub fn wait_ms(
         &self,
         costs: &Costs,
         request: &PickRequest<'_>,
+        load: Load,
         uncached: u32,
     ) -> f64 {
-        let own = self.prefill_tokens + f64::from(uncached) * request.pace;
-        let prefill_tokens = own + self.peer_prefill_tokens;
-        let running = f64::from(self.running + self.peer_requests);
+        let running = load.running;
+        let prefill_tokens = load.prefill_tokens + f64::from(uncached) * request.pace;
         let cross_domain = self.endpoint.failure_domain != request.failure_domain;
         let slots = f64::from(self.endpoint.slots.max(1));
         let queueing_ms = if request.parts.is_empty() {
@@ -139,10 +166,11 @@
         &self,
         costs: &Costs,
         request: &PickRequest<'_>,
+        load: Load,
         uncached: u32,
         now: Millis,
     ) -> f64 {
-        let wait = self.wait_ms(costs, request, uncached);
+        let wait = self.wait_ms(costs, request, load, uncached);
         let prefill_ms = costs.prefill_ms(request, uncached);
         wait + prefill_ms * costs.prefill_weight + self.health.penalty_ms(now)
     }
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -22,10 +22,26 @@
 use discovery::Departure;
 use endpoint_stats::EndpointStats;
 pub use pick::{Costs, Pick, PickRequest, VersionFilter};
+pub use prefix::rendezvous_weight;
 pub use prefix::{digest_text, prefix_digests};
-use prefix::{salted, salted_parts, shared_prefix};
+use prefix::{mix, salted, salted_parts, shared_parts, shared_prefix};
 
-use crate::health::HealthSample;
+use endpoint_stats::Load;
+pub(crate) use endpoint_stats::PREFIX_TTL_MS;
+
+use crate::{health::HealthSample, load_tracker::TrackedLoad};
+
+/// Loads that trackers told, by the digest of the endpoint's id.
+pub type TrackedLoads = HashMap<u64, TrackedLoad>;
+
+/// Number of endpoints at which a prefix belongs.
+const HOME_RANKS: usize = 3;
+
+/// Number of other endpoints that are considered for a request.
+const SPILL_RANKS: usize = 2;
+
+/// Maximum number of shared parts of a prompt that trackers are told.
+const TRACKED_PARTS_MAX: usize = 8;
 
 /// Probability that an endpoint has cached a prefix through a gateway whose
 /// dispatches are unknown here, by the endpoint's rank for that prefix.
@@ -115,31 +131,22 @@
     /// always skipped; those that only a peer calls draining are used if there is
     /// no other, since notices of peers are not authenticated.
     pub fn pick(&self, request: &PickRequest<'_>, now: Millis) -> Option<Pick> {
-        let mut candidates: Vec<&EndpointStats> = self
-            .matching(request)
-            .filter(|stats| !stats.is_paused(now))
-            .collect();
-        if candidates
-            .iter()
-            .any(|stats| !stats.is_draining_at_peer(now))
-        {
-            candidates.retain(|stats| !stats.is_draining_at_peer(now));
-        }
-        let healthy = candidates
-            .iter()
-            .filter(|stats| stats.health.is_available(now))
-            .count();
-        // With fewer than half available, overloading the rest would cost more
-        // than the failures do.
-        let ignore_health = healthy * 2 < candidates.len();
-        let mut usable: Vec<&EndpointStats> = candidates
-            .into_iter()
-            .filter(|stats| ignore_health || stats.health.is_available(now))
-            .collect();
-        // Every gateway derives the same order, so all prefer the same endpoint
-        // for a prefix.
-        usable.sort_by_cached_key(|stats| stats.rank(request));
+        self.pick_tracked(request, &TrackedLoads::default(), now)
+    }
+
+    /// Like [`Pool::pick`], among the endpoints whose load their trackers told; among
+    /// all if they told none.
+    pub fn pick_tracked(
+        &self,
+        request: &PickRequest<'_>,
+        tracked: &TrackedLoads,
+        now: Millis,
+    ) -> Option<Pick> {
         let parts = salted_parts(request);
+        let usable = self.ranked(request, now);
+        let any_tracked = usable
+            .iter()
+            .any(|stats| tracked.contains_key(&stats.id_digest));
         let usable: Vec<(&EndpointStats, u32)> = usable
             .into_iter()
             .map(|stats| (stats, stats.cached_tokens(&parts, now)))
@@ -154,26 +161,103 @@
         usable
             .into_iter()
             .enumerate()
-            .map(|(rank, (stats, cached))| {
+            .filter_map(|(rank, (stats, cached))| {
+                if let Some(load) = tracked.get(&stats.id_digest) {
+                    let cached = parts.iter().take(usize::from(load.cached_parts));
+                    let cached = cached.map(|(_, tokens)| tokens).sum();
+                    let uncached = request.uncached_tokens(cached, 0.0);
+                    return Some((stats, Load::from(*load), uncached, uncached));
+                }
+                if any_tracked {
+                    return None;
+                }
                 let prior = priors.get(rank).copied().unwrap_or(0.0);
                 let expected = request.uncached_tokens(cached, prior);
-                let cost = stats.cost_ms(&self.costs, request, expected, now);
                 let uncached = match self.peer_coverage {
                     PeerCoverage::Complete => request.uncached_tokens(cached, 0.0),
                     PeerCoverage::Partial => expected,
                 };
-                (stats, uncached, cost)
+                Some((stats, stats.known_load(), expected, uncached))
+            })
+            .map(|(stats, load, expected, uncached)| {
+                let cost = stats.cost_ms(&self.costs, request, load, expected, now);
+                (stats, load, uncached, cost)
             })
-            .min_by(|a, b| a.2.total_cmp(&b.2))
-            .map(|(stats, uncached_tokens, _)| Pick {
+            .min_by(|a, b| a.3.total_cmp(&b.3))
+            .map(|(stats, load, uncached_tokens, _)| Pick {
                 endpoint: stats.endpoint.clone(),
                 uncached_tokens,
-                wait_ms: stats.wait_ms(&self.costs, request, uncached_tokens) as u64,
+                wait_ms: stats.wait_ms(&self.costs, request, load, uncached_tokens)
+                    as u64,
                 running: stats.running,
                 peer_requests: stats.peer_requests,
             })
     }
 
+    /// Returns the digests of the endpoints whose load is worth knowing before a
+    /// request is sent: those where its prefix belongs, and some others, which take
+    /// it if the first are overloaded.
+    pub fn candidates(&self, request: &PickRequest<'_>, now: Millis) -> Vec<u64> {
+        let usable = self.ranked(request, now);
+        let digests: Vec<u64> = usable.iter().map(|stats| stats.id_digest).collect();
+        if digests.len() <= HOME_RANKS + SPILL_RANKS {
+            return digests;
+        }
+        let (home, others) = digests.split_at(HOME_RANKS);
+        // The last part is unique to the request, so that requests of one prefix
+        // spill over to different endpoints.
+        let own = request.parts.last().map_or(0, |(digest, _)| *digest);
+        let spill = (0..SPILL_RANKS as u64).map(|turn| {
+            let index = mix(own.wrapping_add(turn)) % others.len() as u64;
+            others[index as usize]
+        });
+        home.iter().copied().chain(spill).collect()
+    }
+
+    /// Returns the salted digests of the shared parts of a request's prompt, for its
+    /// trackers.
+    pub fn shared_prefixes(request: &PickRequest<'_>) -> Vec<u64> {
+        let parts = salted_parts(request);
+        let shared = shared_parts(&parts).iter().take(TRACKED_PARTS_MAX);
+        shared.map(|(digest, _)| *digest).collect()
+    }
+
+    /// Returns the digest of the id of an endpoint.
+    pub fn digest_of(&self, id: &str) -> Option<u64> {
+        self.endpoints.get(id).map(|stats| stats.id_digest)
+    }
+
+    /// Returns the endpoints that may get the request now, in the order in which its
+    /// prefix prefers them.
+    fn ranked<'a>(
+        &'a self,
+        request: &'a PickRequest<'_>,
+        now: Millis,
+    ) -> Vec<&'a EndpointStats> {
+        let mut candidates: Vec<&EndpointStats> = self
+            .matching(request)
+            .filter(|stats| !stats.is_paused(now))
+            .collect();
+        if candidates
+            .iter()
+            .any(|stats| !stats.is_draining_at_peer(now))
+        {
+            candidates.retain(|stats| !stats.is_draining_at_peer(now));
+        }
+        let healthy = candidates
+            .iter()
+            .filter(|stats| stats.health.is_available(now))
+            .count();
+        // With fewer than half available, overloading the rest would cost more
+        // than the failures do.
+        let ignore_health = healthy * 2 < candidates.len();
+        candidates.retain(|stats| ignore_health || stats.health.is_available(now));
+        // Every gateway derives the same order, so all prefer the same endpoint
+        // for a prefix.
+        candidates.sort_by_cached_key(|stats| stats.rank(request));
+        candidates
+    }
+
     /// Returns when the first of the paused endpoints that match takes requests
     /// again; `None` if none of them is paused.
     pub fn earliest_pause_end(
--- a/crates/route/src/pool/prefix.rs
+++ b/crates/route/src/pool/prefix.rs
@@ -47,6 +47,12 @@
         .fold(digest, |digest, byte| mix(digest ^ u64::from(byte)))
 }
 
+/// Returns the weight by which `node` is chosen for `key` among others: the highest one
+/// is chosen, so that a node that comes or goes moves only its own keys.
+pub fn rendezvous_weight(node: u64, key: u64) -> u64 {
+    mix(node ^ mix(key))
+}
+
 /// Returns the output of splitmix64 for the state `value`.
 pub(super) fn mix(value: u64) -> u64 {
     let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -1,7 +1,8 @@
 //! Framing of event streams, and limits on datagrams from peers.
 
 use gateway::{
-    Datagram, EventFramer, PeerStatus, PeerUpdate, RolloutReport, decode_datagram,
+    Datagram, EventFramer, PeerStatus, PeerUpdate, RolloutReport, RunEvent,
+    decode_datagram,
 };
 use proptest::prelude::*;
 use route::{DispatchNotice, DrainNotice, Evidence};
@@ -48,6 +49,16 @@
                 prop_assert!(status.endpoint_load.len() <= 48);
             }
             Some(Datagram::Update(update)) => prop_assert!(update.dispatches.len() <= 32),
+            Some(Datagram::LoadQuestion(question)) => {
+                prop_assert!(question.endpoints.len() <= 16);
+                prop_assert!(question.prefixes.len() <= 16);
+            }
+            Some(Datagram::LoadAnswer(answer)) => prop_assert!(answer.loads.len() <= 16),
+            Some(Datagram::LoadReport(report)) => {
+                if let RunEvent::Started { tokens, prefixes } = report.event {
+                    prop_assert!(tokens <= 1_500_000 && prefixes.len() <= 16);
+                }
+            }
             None => {}
         }
     }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -19,6 +19,7 @@
 mod golden;
 mod health;
 mod keyed;
+mod load_tracking;
 mod operations;
 mod outer_names;
 mod placing;
