Let trackers tell the delay that an engine's queue does not explain

Change: a tracker averages the excess over the prediction, and the average fades while nothing is sent; it is added to the predicted wait.

--- a/crates/gateway/src/load_query.rs
+++ b/crates/gateway/src/load_query.rs
@@ -50,9 +50,10 @@
 }
 
 impl LoadExchange {
-    pub fn new() -> Self {
+    pub fn new(prefill_tokens_per_ms: f64) -> Self {
+        let tracker = LoadTracker::new(prefill_tokens_per_ms);
         LoadExchange {
-            tracker: RefCell::default(),
+            tracker: RefCell::new(tracker),
             socket: RefCell::default(),
             sender: rand::rng().random(),
             next_number: Cell::default(),
@@ -220,7 +221,9 @@
             RunEvent::Started { tokens, prefixes } => {
                 tracker.record_start(endpoint, key, *tokens, prefixes, now);
             }
-            RunEvent::PrefillEnded => tracker.record_prefill_end(endpoint, key),
+            RunEvent::PrefillEnded => {
+                tracker.record_prefill_end(endpoint, key, now);
+            }
             RunEvent::Ended => tracker.record_end(endpoint, key),
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -132,7 +132,7 @@
             clock,
             sizes,
             pool: RefCell::new(pool),
-            load: LoadExchange::new(),
+            load: LoadExchange::new(routing.prefill_tokens_per_ms),
             idle_connections: RefCell::default(),
             stats: Stats::default(),
             peers: RefCell::new(peers),
--- a/crates/route/src/load_tracker.rs
+++ b/crates/route/src/load_tracker.rs
@@ -18,6 +18,15 @@
 /// Time after which a run whose end was not reported is forgotten, ms.
 const RUN_EXPIRY_MS: u64 = 15_000;
 
+/// Maximum time by which a prompt is counted to have exceeded its prediction, ms.
+const DELAY_MAX_MS: f64 = 5_000.0;
+
+/// Weight of one prompt in the moving average of that time.
+const DELAY_WEIGHT: f64 = 0.25;
+
+/// Time in which that average halves while nothing is sent to the endpoint, ms.
+const DELAY_HALF_LIFE_MS: f64 = 1_500.0;
+
 /// Maximum number of runs that are tracked per endpoint.
 const RUNS_MAX: usize = 1_024;
 
@@ -46,12 +55,16 @@
     pub prefill_tokens: u32,
     /// Number of leading parts of the prompt that were sent there recently.
     pub cached_parts: u8,
+    /// Time that prompts recently took there beyond what their tokens explain, ms.
+    pub delay_ms: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Run {
     started: Millis,
     prefill_tokens: u32,
+    /// Predicted time to the end of prefill, ms, from the tokens known at the start.
+    predicted_ms: f64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -59,15 +72,50 @@
     runs: HashMap<RunKey, Run>,
     /// Time when each prefix was last sent to the endpoint, by salted digest.
     prefixes: HashMap<u64, Millis>,
+    delay: Delay,
+}
+
+/// Moving average of the time by which predictions are exceeded.
+///
+/// An engine may be slower than configured, or hold work that no gateway tells of. The
+/// average fades while nothing is sent there, so that it is tried again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Delay {
+    average_ms: f64,
+    updated: Millis,
+}
+
+impl Delay {
+    fn record(&mut self, excess_ms: f64, now: Millis) {
+        let average_ms = self.now_ms(now);
+        let excess_ms = excess_ms.clamp(0.0, DELAY_MAX_MS);
+        self.average_ms = average_ms + DELAY_WEIGHT * (excess_ms - average_ms);
+        self.updated = now;
+    }
+
+    fn now_ms(&self, now: Millis) -> f64 {
+        let idle_ms = now.since(self.updated) as f64;
+        self.average_ms * (-idle_ms / DELAY_HALF_LIFE_MS).exp2()
+    }
 }
 
 /// The endpoints that one gateway keeps track of, by the digests of their ids.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct LoadTracker {
+    prefill_tokens_per_ms: f64,
     endpoints: HashMap<u64, TrackedEndpoint>,
 }
 
 impl LoadTracker {
+    /// Creates a tracker of no endpoints. `prefill_tokens_per_ms` is the rate that
+    /// engines are expected to have with a model of pace 1.
+    pub fn new(prefill_tokens_per_ms: f64) -> Self {
+        LoadTracker {
+            prefill_tokens_per_ms,
+            endpoints: HashMap::new(),
+        }
+    }
+
     /// Records that a request with `prefill_tokens` to process, scaled by the model's
     /// pace, was sent to `endpoint`. `prefixes` are the salted digests of its prompt's
     /// shared parts, in order.
@@ -80,10 +128,16 @@
         now: Millis,
     ) {
         let tracked = self.endpoints.entry(endpoint).or_default();
+        let queued = tracked
+            .runs
+            .values()
+            .map(|run| f64::from(run.prefill_tokens));
+        let tokens = queued.sum::<f64>() + f64::from(prefill_tokens);
         if tracked.runs.len() < RUNS_MAX {
             let run = Run {
                 started: now,
                 prefill_tokens,
+                predicted_ms: tokens / self.prefill_tokens_per_ms,
             };
             tracked.runs.insert(key, run);
         }
@@ -97,10 +151,14 @@
     }
 
     /// Records that the endpoint has processed the prompt of a run.
-    pub fn record_prefill_end(&mut self, endpoint: u64, key: RunKey) {
-        let tracked = self.endpoints.get_mut(&endpoint);
-        if let Some(run) = tracked.and_then(|tracked| tracked.runs.get_mut(&key)) {
+    pub fn record_prefill_end(&mut self, endpoint: u64, key: RunKey, now: Millis) {
+        let Some(tracked) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        if let Some(run) = tracked.runs.get_mut(&key) {
             run.prefill_tokens = 0;
+            let took_ms = now.since(run.started) as f64;
+            tracked.delay.record(took_ms - run.predicted_ms, now);
         }
     }
 
@@ -132,6 +190,7 @@
         };
         let cached = prefixes.iter().rposition(is_cached).map_or(0, |i| i + 1);
         load.cached_parts = u8::try_from(cached).unwrap_or(u8::MAX);
+        load.delay_ms = tracked.delay.now_ms(now) as u32;
         load
     }
 
--- a/crates/route/src/pool/endpoint_stats.rs
+++ b/crates/route/src/pool/endpoint_stats.rs
@@ -30,6 +30,8 @@
     pub running: f64,
     /// Their prompt tokens still in prefill, scaled by pace.
     pub prefill_tokens: f64,
+    /// Time that prompts take there beyond what these explain, ms.
+    pub delay_ms: f64,
 }
 
 impl From<TrackedLoad> for Load {
@@ -37,6 +39,7 @@
         Load {
             running: f64::from(tracked.running),
             prefill_tokens: f64::from(tracked.prefill_tokens),
+            delay_ms: f64::from(tracked.delay_ms),
         }
     }
 }
@@ -135,6 +138,7 @@
         Load {
             running: f64::from(self.running + self.peer_requests),
             prefill_tokens: self.prefill_tokens + self.peer_prefill_tokens,
+            delay_ms: 0.0,
         }
     }
 
@@ -156,7 +160,8 @@
         } else {
             running * costs.running_ms
         };
-        let wait = prefill_tokens / costs.prefill_tokens_per_ms + queueing_ms;
+        let wait =
+            prefill_tokens / costs.prefill_tokens_per_ms + queueing_ms + load.delay_ms;
         wait + if cross_domain { CROSS_DOMAIN_MS } else { 0.0 }
     }
 
--- a/tests/load_tracking.rs
+++ b/tests/load_tracking.rs
@@ -25,23 +25,46 @@
 
 #[test]
 fn tracked_load_is_the_sum_of_the_runs_in_progress() {
-    let mut tracker = LoadTracker::default();
+    let mut tracker = LoadTracker::new(60.0);
     let now = Millis(10_000);
     tracker.record_start(7, key(1), 500, &[11, 12], now);
     tracker.record_start(7, key(2), 300, &[13], now);
     let load = tracker.load(7, &[11, 12, 99], now);
     assert_eq!((load.running, load.prefill_tokens), (2, 800));
     assert_eq!(load.cached_parts, 2);
-    tracker.record_prefill_end(7, key(1));
+    tracker.record_prefill_end(7, key(1), now);
     assert_eq!(tracker.load(7, &[], now).prefill_tokens, 300);
     tracker.record_end(7, key(1));
     assert_eq!(tracker.load(7, &[], now).running, 1);
     assert_eq!(tracker.load(8, &[11], now).cached_parts, 0);
 }
 
+/// An engine that is three times slower than the settings say, or three times faster: a
+/// tracker tells what its queue does not explain, and forgets it when nothing is sent.
+#[test]
+fn slow_engine_is_known_by_its_delay() {
+    let run_one = |took_ms: u64| {
+        let mut tracker = LoadTracker::new(60.0);
+        let mut now = Millis(10_000);
+        for number in 0..20 {
+            tracker.record_start(7, key(number), 6_000, &[], now);
+            now = now.plus(took_ms);
+            tracker.record_prefill_end(7, key(number), now);
+            tracker.record_end(7, key(number));
+        }
+        (tracker, now)
+    };
+    let (slow, now) = run_one(300);
+    let delay_ms = slow.load(7, &[], now).delay_ms;
+    assert!((180..=200).contains(&delay_ms), "{delay_ms}");
+    assert_eq!(slow.load(7, &[], now.plus(60_000)).delay_ms, 0);
+    let (fast, now) = run_one(33);
+    assert_eq!(fast.load(7, &[], now).delay_ms, 0);
+}
+
 #[test]
 fn run_whose_end_was_lost_expires() {
-    let mut tracker = LoadTracker::default();
+    let mut tracker = LoadTracker::new(60.0);
     tracker.record_start(7, key(1), 500, &[11], Millis(0));
     let late = Millis(60_000);
     let load = tracker.load(7, &[11], late);
@@ -58,7 +81,7 @@
     fn tracked_load_is_bounded_by_what_was_sent(
         events in proptest::collection::vec((0_u8..3, 0_u64..20, 0_u32..1_000), 0..120),
     ) {
-        let mut tracker = LoadTracker::default();
+        let mut tracker = LoadTracker::new(60.0);
         let mut sent = HashSet::new();
         let mut sent_tokens = 0_u64;
         for (kind, number, tokens) in events {
@@ -68,7 +91,7 @@
                     sent.insert(number);
                     sent_tokens += u64::from(tokens);
                 }
-                1 => tracker.record_prefill_end(1, key(number)),
+                1 => tracker.record_prefill_end(1, key(number), Millis(5)),
                 _ => tracker.record_end(1, key(number)),
             }
             let load = tracker.load(1, &[], Millis(6));
@@ -123,7 +146,7 @@
     const PACE: f64 = 3.0;
     let mut rng = StdRng::seed_from_u64(17);
     let mut pools: Vec<Pool> = (0..GATEWAYS).map(|_| pool()).collect();
-    let mut tracker = LoadTracker::default();
+    let mut tracker = LoadTracker::new(60.0);
     let mut free_at: HashMap<String, f64> = HashMap::new();
     let mut read_by: HashMap<u64, HashSet<String>> = HashMap::new();
     let mut running: Vec<(f64, usize, String, u32, u64, RunKey)> = Vec::new();
