--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -140,58 +140,33 @@
         let confidence = confidence.and_then(|value| value.trim().parse::<f64>().ok());
         let confidence = confidence.map(|value| value.clamp(0.0, 100.0) as u8);
         let sizes = route.candidate_models.len();
-        let wanted = escalation_size(self.size, sizes, confidence, settings)?;
-        let (size, predicted_ms) = self.largest_in_time(wanted).await;
+        let size = escalation_size(self.size, sizes, confidence, settings)?;
+        let now = self.gateway.now();
+        let elapsed_ms = now.since(self.req.started);
+        let predicted_ms = self.predicted_ms(size).await;
+        let objective_ms = route.objective_ms;
+        let left_ms = self.req.left_ms(now);
+        let in_time = predicted_ms.is_some_and(|predicted_ms| {
+            let answered_ms = elapsed_ms + predicted_ms;
+            is_worth_escalating(answered_ms, objective_ms, left_ms, settings)
+        });
         // Charged before the present answer is set aside for a better one.
-        let charged = size.is_some() && self.gateway.try_retry(&self.req.service);
-        let outcome = match (predicted_ms, size, charged) {
+        let charged = in_time && self.gateway.try_retry(&self.req.service);
+        let outcome = match (predicted_ms, in_time, charged) {
             (None, ..) => "no_endpoint",
-            (_, None, _) => "too_late",
+            (_, false, _) => "too_late",
             (_, _, false) => "no_retry_left",
             _ => "larger_asked",
         };
-        let now = self.gateway.now();
         log::info!(
-            "event=answer_unsure request={} size={} confidence={} wanted={wanted} asked={} tokens_in={} elapsed_ms={} predicted_ms={} objective_ms={} left_ms={} outcome={outcome}",
+            "event=answer_unsure request={} size={} confidence={} wanted={size} tokens_in={} elapsed_ms={elapsed_ms} predicted_ms={} objective_ms={objective_ms} left_ms={left_ms} outcome={outcome}",
             id_str(&self.req.id),
             self.size,
             confidence.unwrap_or_default(),
-            size.unwrap_or(self.size),
             self.req.prompt.tokens_in,
-            now.since(self.req.started),
             predicted_ms.unwrap_or_default(),
-            route.objective_ms,
-            self.req.left_ms(now),
         );
-        size.filter(|_| charged)
-    }
-
-    /// Returns the largest model up to `wanted`, and above the present one, whose
-    /// answer is predicted in time, and the last prediction, ms.
-    ///
-    /// A model in between answers some of the requests that the smallest one cannot,
-    /// and reads a long prompt in a fraction of the largest one's time.
-    async fn largest_in_time(&self, wanted: usize) -> (Option<usize>, Option<u64>) {
-        let mut predicted_ms = None;
-        for size in (self.size + 1..=wanted).rev() {
-            predicted_ms = self.predicted_ms(size).await;
-            if predicted_ms.is_some_and(|ms| self.is_in_time(ms)) {
-                return (Some(size), predicted_ms);
-            }
-        }
-        (None, predicted_ms)
-    }
-
-    /// Whether a larger model's answer that is predicted to take `predicted_ms` from
-    /// now is worth asking for.
-    fn is_in_time(&self, predicted_ms: u64) -> bool {
-        let now = self.gateway.now();
-        is_worth_escalating(
-            now.since(self.req.started) + predicted_ms,
-            self.req.route().objective_ms,
-            self.req.left_ms(now),
-            &self.gateway.sizes,
-        )
+        charged.then_some(size)
     }
 
     /// Predicts the time to the first event of the model of `size`, ms; `None`
