Keep a tracked delay while prompts come; wait longer for the status topic

Change: the average is kept for half a second and fades after that. The wait of a read is bounded by a factor of ten, so that the status topic, whose news are pushed to waiting reads anyway, is read every 12 to 25 s in a large fleet instead of 4 to 8 s.

--- a/crates/route/src/load_tracker.rs
+++ b/crates/route/src/load_tracker.rs
@@ -24,6 +24,9 @@
 /// Weight of one prompt in the moving average of that time.
 const DELAY_WEIGHT: f64 = 0.25;
 
+/// Time for which that average is kept after the last prompt, ms.
+const DELAY_KEPT_MS: u64 = 500;
+
 /// Time in which that average halves while nothing is sent to the endpoint, ms.
 const DELAY_HALF_LIFE_MS: f64 = 1_500.0;
 
@@ -94,7 +97,7 @@
     }
 
     fn now_ms(&self, now: Millis) -> f64 {
-        let idle_ms = now.since(self.updated) as f64;
+        let idle_ms = now.since(self.updated).saturating_sub(DELAY_KEPT_MS) as f64;
         self.average_ms * (-idle_ms / DELAY_HALF_LIFE_MS).exp2()
     }
 }
--- a/crates/store/src/read_pacing.rs
+++ b/crates/store/src/read_pacing.rs
@@ -16,8 +16,11 @@
 /// Number of processes up to which none waits longer than it would alone.
 const SMALL_FLEET: u64 = 5;
 
-/// Maximum wait of a read, ms.
-const WAIT_MAX_MS: u64 = 8_000;
+/// Maximum factor by which a process waits longer than it would alone.
+const WAIT_FACTOR_MAX: u64 = 10;
+
+/// Maximum wait of a read, ms; the log allows little more.
+const WAIT_MAX_MS: u64 = 25_000;
 
 /// Maximum delay between two failed calls, ms: alone, and in a large fleet.
 const RETRY_MAX_MS: [u64; 2] = [700, 3_000];
@@ -52,7 +55,8 @@
 
     /// Returns the maximum wait of a read, ms.
     pub fn longest_wait_ms(&self) -> u64 {
-        self.scaled_ms(self.base_wait_ms, WAIT_MAX_MS)
+        let max_ms = self.base_wait_ms.saturating_mul(WAIT_FACTOR_MAX);
+        self.scaled_ms(self.base_wait_ms, max_ms.min(WAIT_MAX_MS))
     }
 
     /// Draws the wait of the next read, ms. Waits longer than the shortest possible
