Bound the number of endpoints that a gateway tracks

Cause: reports of runs are not authenticated, and each invented endpoint took memory until it expired. Test: load_tracking::number_of_tracked_endpoints_is_bounded.

--- a/crates/route/src/load_tracker.rs
+++ b/crates/route/src/load_tracker.rs
@@ -30,6 +30,9 @@
 /// Time in which that average halves while nothing is sent to the endpoint, ms.
 const DELAY_HALF_LIFE_MS: f64 = 1_500.0;
 
+/// Maximum number of tracked endpoints, since reports are not authenticated.
+const ENDPOINTS_MAX: usize = 8_192;
+
 /// Maximum number of runs that are tracked per endpoint.
 const RUNS_MAX: usize = 1_024;
 
@@ -130,6 +133,10 @@
         prefixes: &[u64],
         now: Millis,
     ) {
+        let known = self.endpoints.contains_key(&endpoint);
+        if !known && self.endpoints.len() >= ENDPOINTS_MAX {
+            return;
+        }
         let tracked = self.endpoints.entry(endpoint).or_default();
         let queued = tracked
             .runs
--- a/crates/store/src/keyed.rs
+++ b/crates/store/src/keyed.rs
@@ -26,7 +26,7 @@
 )]
 #[display("{epoch}/{offset}")]
 pub struct LogPosition {
-    /// Number of times that the log was restored from an older copy, or more.
+    /// Rises by one each time that the log is restored from an older copy.
     pub epoch: u64,
     /// Offset within the topic.
     pub offset: u64,
--- a/tests/load_tracking.rs
+++ b/tests/load_tracking.rs
@@ -62,6 +62,18 @@
     assert_eq!(fast.load(7, &[], now).delay_ms, 0);
 }
 
+/// Reports are not authenticated, so that invented endpoints must not fill the memory.
+#[test]
+fn number_of_tracked_endpoints_is_bounded() {
+    let mut tracker = LoadTracker::new(60.0);
+    let now = Millis(10_000);
+    for endpoint in 0..20_000 {
+        tracker.record_start(endpoint, key(1), 1, &[], now);
+    }
+    let tracked = (0..20_000).filter(|e| tracker.load(*e, &[], now).running > 0);
+    assert!(tracked.count() <= 8_192);
+}
+
 #[test]
 fn run_whose_end_was_lost_expires() {
     let mut tracker = LoadTracker::new(60.0);
