--- a/tests/restored_log.rs
+++ b/tests/restored_log.rs
@@ -59,10 +59,10 @@
 /// topic again; it must not ask for it in a loop.
 #[tokio::test]
 async fn restored_log_is_not_read_in_a_loop() {
-    let (platform, _endpoint, gateway) = plain_platform().await;
+    let (platform, endpoint, gateway) = plain_platform().await;
     let copy = platform.log.copy();
     platform.log.put("keyed.op", "config", &configuration(2));
-    platform.announce("p1", "plain", &_endpoint);
+    platform.announce("p1", "plain", &endpoint);
     gateway.wait_logged("event=config_in_force version=2").await;
     platform.log.restore(&copy);
     gateway
@@ -134,10 +134,9 @@
     assert_eq!(reply.status, 200);
     assert!(first.received().is_empty(), "a draining endpoint was used");
     platform.announce("p2", "plain", &staying);
-    let line = gateway
+    gateway
         .wait_logged("event=endpoint_gone endpoint=p3 reason=lapsed")
         .await;
-    assert!(line.contains("p3"));
     assert!(gateway.logged("event=endpoint_gone endpoint=p2").is_empty());
     for n in 0..5 {
         let reply = send(gateway.callers, &get("/safe/", &format!("s{n}"))).await;
@@ -250,12 +249,10 @@
     platform
         .log
         .put("keyed.op", "rollout/plain", &ORDER.replace("600", "6"));
-    let copy = {
-        gateway
-            .wait_logged("event=rollout_recorded service=plain state=running")
-            .await;
-        platform.log.copy()
-    };
+    gateway
+        .wait_logged("event=rollout_recorded service=plain state=running")
+        .await;
+    let copy = platform.log.copy();
     drive_rollout(&platform, &gateway, "completed").await;
     // Nobody can record the end again while appends are refused.
     platform.log.set_faults(KeyedLogFaults {
