--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -7,7 +7,6 @@
 //! there as others idle. [`Pool::pick`] compares both effects in milliseconds.
 //! See `docs/design/deployment.md`.
 
-mod candidate;
 mod discovery;
 mod endpoint_stats;
 mod pick;
@@ -19,7 +18,6 @@
 use clock::Millis;
 use serde::{Deserialize, Serialize};
 
-use candidate::{Candidate, tracked_candidates};
 pub use discovery::AnnouncedAt;
 use discovery::Departure;
 use endpoint_stats::EndpointStats;
@@ -28,6 +26,7 @@
 pub use prefix::{digest_text, prefix_digests};
 use prefix::{mix, salted, salted_parts, shared_parts, shared_prefix};
 
+use endpoint_stats::Load;
 pub(crate) use endpoint_stats::PREFIX_TTL_MS;
 
 use crate::{health::HealthSample, load_tracker::TrackedLoad};
@@ -143,59 +142,56 @@
         tracked: &TrackedLoads,
         now: Millis,
     ) -> Option<Pick> {
+        let parts = salted_parts(request);
         let usable = self.ranked(request, now);
-        let tracked_only = usable
+        let any_tracked = usable
             .iter()
             .any(|stats| tracked.contains_key(&stats.id_digest));
-        let candidates = if tracked_only {
-            tracked_candidates(request, &usable, tracked)
-        } else {
-            self.known_candidates(request, &usable, now)
-        };
-        let costs = candidates.into_iter().map(|candidate| {
-            let cost_ms = candidate.cost_ms(&self.costs, request, now);
-            (candidate, cost_ms)
-        });
-        let (best, _) = costs.min_by(|a, b| a.1.total_cmp(&b.1))?;
-        Some(best.pick(&self.costs, request))
-    }
-
-    /// Returns the endpoints with the load that this gateway knows of.
-    fn known_candidates<'a>(
-        &self,
-        request: &PickRequest<'_>,
-        usable: &[&'a EndpointStats],
-        now: Millis,
-    ) -> Vec<Candidate<'a>> {
-        let parts = salted_parts(request);
-        let cached: Vec<u32> = usable
-            .iter()
-            .map(|stats| stats.cached_tokens(&parts, now))
+        let usable: Vec<(&EndpointStats, u32)> = usable
+            .into_iter()
+            .map(|stats| (stats, stats.cached_tokens(&parts, now)))
             .collect();
-        let any_cached = cached.iter().any(|tokens| *tokens > 0);
+        let any_cached = usable.iter().any(|(_, cached)| *cached > 0);
         let all_known = self.peer_coverage == PeerCoverage::Complete;
         let priors = if any_cached && all_known {
             [0.0; 2]
         } else {
             CACHED_PRIOR
         };
-        let ranked = usable.iter().zip(cached).enumerate();
-        let candidates = ranked.map(|(rank, (stats, cached))| {
-            let prior = priors.get(rank).copied().unwrap_or(0.0);
-            let expected_tokens = request.uncached_tokens(cached, prior);
-            let uncached_tokens = if all_known {
-                request.uncached_tokens(cached, 0.0)
-            } else {
-                expected_tokens
-            };
-            Candidate {
-                stats,
-                load: stats.known_load(),
-                expected_tokens,
+        usable
+            .into_iter()
+            .enumerate()
+            .filter_map(|(rank, (stats, cached))| {
+                if let Some(load) = tracked.get(&stats.id_digest) {
+                    let cached = parts.iter().take(usize::from(load.cached_parts));
+                    let cached = cached.map(|(_, tokens)| tokens).sum();
+                    let uncached = request.uncached_tokens(cached, 0.0);
+                    return Some((stats, Load::from(*load), uncached, uncached));
+                }
+                if any_tracked {
+                    return None;
+                }
+                let prior = priors.get(rank).copied().unwrap_or(0.0);
+                let expected = request.uncached_tokens(cached, prior);
+                let uncached = match self.peer_coverage {
+                    PeerCoverage::Complete => request.uncached_tokens(cached, 0.0),
+                    PeerCoverage::Partial => expected,
+                };
+                Some((stats, stats.known_load(), expected, uncached))
+            })
+            .map(|(stats, load, expected, uncached)| {
+                let cost = stats.cost_ms(&self.costs, request, load, expected, now);
+                (stats, load, uncached, cost)
+            })
+            .min_by(|a, b| a.3.total_cmp(&b.3))
+            .map(|(stats, load, uncached_tokens, _)| Pick {
+                endpoint: stats.endpoint.clone(),
                 uncached_tokens,
-            }
-        });
-        candidates.collect()
+                wait_ms: stats.wait_ms(&self.costs, request, load, uncached_tokens)
+                    as u64,
+                running: stats.running,
+                peer_requests: stats.peer_requests,
+            })
     }
 
     /// Returns the digests of the endpoints whose load is worth knowing before a
