--- a/tests/endpoint_state.rs
+++ b/tests/endpoint_state.rs
@@ -3,7 +3,6 @@
 
 use std::time::{Duration, Instant};
 
-use catalog::{Endpoint, EndpointState};
 use clock::Millis;
 use http::{HeaderMap, HeaderValue, header};
 use platform::RetryAfter;
@@ -13,8 +12,9 @@
 };
 use standin::{Action, ScriptedEndpoint};
 
-use crate::util::gateway_harness::{
-    GatewayProcess, TestPlatform, configuration, request, send,
+use crate::util::{
+    endpoints::endpoint,
+    gateway_harness::{GatewayProcess, TestPlatform, configuration, request, send},
 };
 
 const DRAFT_HEADERS: &str =
@@ -257,20 +257,6 @@
     assert!(!is_worth_waiting(&short, Millis(1_031)));
 }
 
-fn endpoint(id: u64) -> Endpoint {
-    Endpoint {
-        id: format!("e{id}"),
-        born_ms: 1,
-        service: "s".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: "a".to_owned(),
-        version: "v1".to_owned(),
-        slots: 6,
-        state: EndpointState::Ready,
-        warmup_left_ms: 0,
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 enum PoolStep {
     Advance(u64),
@@ -304,7 +290,7 @@
     ) {
         let mut pool = Pool::new(Costs::default());
         for id in 0..3 {
-            pool.announce(endpoint(id), AnnouncedAt::default());
+            pool.announce(endpoint(&format!("e{id}")), AnnouncedAt::default());
         }
         let mut now = Millis(10_000);
         let mut paused_until = [Millis(0); 3];
@@ -313,7 +299,7 @@
             match step {
                 PoolStep::Advance(ms) => now = now.plus(ms),
                 PoolStep::Announce(id) => {
-                    pool.announce(endpoint(id), AnnouncedAt::default());
+                    pool.announce(endpoint(&format!("e{id}")), AnnouncedAt::default());
                 }
                 PoolStep::Pause(id, ms) => {
                     pool.pause(&format!("e{id}"), now.plus(ms));
--- a/tests/load_tracking.rs
+++ b/tests/load_tracking.rs
@@ -3,7 +3,6 @@
 
 use std::collections::{HashMap, HashSet};
 
-use catalog::{Endpoint, EndpointState};
 use clock::Millis;
 use gateway::idle_max;
 use proptest::prelude::*;
@@ -15,8 +14,9 @@
 use standin::{Action, ScriptedEndpoint};
 use store::ReadPacing;
 
-use crate::util::gateway_harness::{
-    GatewayProcess, TestPlatform, configuration, request, send,
+use crate::util::{
+    endpoints::endpoint,
+    gateway_harness::{GatewayProcess, TestPlatform, configuration, request, send},
 };
 
 fn key(number: u64) -> RunKey {
@@ -117,24 +117,10 @@
 const GATEWAYS: usize = 68;
 const ENGINES: usize = 120;
 
-fn engine(number: usize) -> Endpoint {
-    Endpoint {
-        id: format!("e{number}"),
-        born_ms: 1,
-        service: "s".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: "a".to_owned(),
-        version: "v1".to_owned(),
-        slots: 32,
-        state: EndpointState::Ready,
-        warmup_left_ms: 0,
-    }
-}
-
 fn pool() -> Pool {
     let mut pool = Pool::new(Costs::default());
     for number in 0..ENGINES {
-        pool.announce(engine(number), AnnouncedAt::default());
+        pool.announce(endpoint(&format!("e{number}")), AnnouncedAt::default());
     }
     pool
 }
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use crate::util::endpoints::endpoint;
+
 use catalog::{Endpoint, EndpointState};
 use clock::Millis;
 use route::{
@@ -9,20 +11,6 @@
     SizeSettings, digest_text, escalation_size, is_worth_escalating, prefix_digests,
 };
 
-fn endpoint(id: &str) -> Endpoint {
-    Endpoint {
-        id: id.to_owned(),
-        born_ms: 1,
-        service: "s".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: "a".to_owned(),
-        version: "v1".to_owned(),
-        slots: 64,
-        state: EndpointState::Ready,
-        warmup_left_ms: 0,
-    }
-}
-
 fn pool(count: usize, costs: Costs) -> Pool {
     let mut pool = Pool::new(costs);
     for i in 0..count {
--- a/tests/restored_log.rs
+++ b/tests/restored_log.rs
@@ -8,8 +8,11 @@
 use route::{AnnouncedAt, Costs, Pool, RolloutStatuses};
 use standin::{Action, KeyedLogFaults, ScriptedEndpoint};
 
-use crate::util::gateway_harness::{
-    GatewayProcess, TestPlatform, configuration, configuration_with, request, send,
+use crate::util::{
+    endpoints::endpoint,
+    gateway_harness::{
+        GatewayProcess, TestPlatform, configuration, configuration_with, request, send,
+    },
 };
 
 const ORDER: &str = r#"{"service":"plain","target":"v2","over_s":600}"#;
@@ -321,27 +324,13 @@
     assert_eq!(statuses.unlogged_end(&order("v3")), None);
 }
 
-fn endpoint(state: catalog::EndpointState) -> catalog::Endpoint {
-    catalog::Endpoint {
-        id: "e".to_owned(),
-        born_ms: 1,
-        service: "s".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: "a".to_owned(),
-        version: "v1".to_owned(),
-        slots: 6,
-        state,
-        warmup_left_ms: 0,
-    }
-}
-
 fn announced(epoch: u64, sequence: u64) -> AnnouncedAt {
     AnnouncedAt { epoch, sequence }
 }
 
 #[test]
 fn departed_endpoint_returns_only_with_a_later_announcement() {
-    let ready = || endpoint(catalog::EndpointState::Ready);
+    let ready = || endpoint("e");
     let mut pool = Pool::new(Costs::default());
     pool.announce(ready(), announced(0, 7));
     pool.unlist("e", Millis(1_000));
@@ -354,7 +343,7 @@
 
 #[test]
 fn endpoint_that_lapsed_in_the_same_epoch_returns() {
-    let ready = || endpoint(catalog::EndpointState::Ready);
+    let ready = || endpoint("e");
     let mut pool = Pool::new(Costs::default());
     pool.announce(ready(), announced(0, 7));
     pool.unlist("e", Millis(1_000));
