Log the evidence on a rollout by route

Sums over routes could not tell a version that fails only under load from one whose failures are hidden by a route that always fails.

--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -341,6 +341,16 @@
             }
             let verdict = if progress.halted { "halted" } else { "passed" };
             let total = all.total();
+            for (route, counts) in all.top_routes(ROUTES_MAX) {
+                info!(
+                    "event=rollout_evidence service={service} target={} route_digest={route:016x} new_good={} new_bad={} old_good={} old_bad={}",
+                    rollout.order.target,
+                    counts.new_good,
+                    counts.new_bad,
+                    counts.old_good,
+                    counts.old_bad
+                );
+            }
             info!(
                 "event=rollout_{verdict} service={service} target={} by=evidence new_good={} new_bad={} old_good={} old_bad={}",
                 rollout.order.target,
