Compare the versions of a rollout route by route

The old version's answers now count in the proportion of the new one's routes, and the likelihoods of the routes are added.

Ruled out: a wider margin alone, which hides more.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -341,12 +341,18 @@
 
     /// Counts an answer's head, or a failure, as rollout evidence on its
     /// version.
+    ///
+    /// Only the first attempt counts: some requests fail at every endpoint, so a
+    /// retry is no independent evidence.
     fn record_quality(
         &self,
         version: &str,
         sent: &Result<Answer, Failure>,
         head_ms: u64,
     ) {
+        if self.sent_count > 1 {
+            return;
+        }
         let quality = match sent {
             Ok(answer) if answer.response.status().is_server_error() => Quality::Bad,
             Ok(_) => {
--- a/crates/route/src/service_rollout.rs
+++ b/crates/route/src/service_rollout.rs
@@ -58,6 +58,17 @@
 /// test can raise a false alarm.
 const REJECT_STD_ERRORS: f64 = 2.6;
 
+/// Amount by which the rate of bad answers of a bad version is assumed to exceed the
+/// old version's, for [`REJECT_LOG_LIKELIHOOD`].
+const ASSUMED_EXCESS: f64 = 0.08;
+
+/// Lowest rate of bad answers that the old version is assumed to have.
+const OLD_RATE_MIN: f64 = 0.005;
+
+/// Logarithm of how much likelier a version's answers must be if it is worse by
+/// [`ASSUMED_EXCESS`] than if it is like the old one, for it to be rejected.
+const REJECT_LOG_LIKELIHOOD: f64 = 5.0;
+
 /// Limit on the fraction of all requests sent to a version that is not
 /// accepted, as a multiple of the share of sessions sampled for it.
 const EXPOSURE_FACTOR: f64 = 1.3;
@@ -112,6 +123,19 @@
         (new - old, error)
     }
 
+    /// Returns how much likelier the new version's answers are if it is worse by
+    /// [`ASSUMED_EXCESS`] than if it is like the old version, as a logarithm.
+    fn log_likelihood_of_worse(&self) -> f64 {
+        if self.old_answers() == 0 {
+            return 0.0;
+        }
+        let old = (self.old_bad as f64 + 0.5) / (self.old_answers() as f64 + 1.0);
+        let old = old.clamp(OLD_RATE_MIN, 0.9);
+        let worse = (old + ASSUMED_EXCESS).min(0.95);
+        self.new_bad as f64 * (worse / old).ln()
+            + self.new_good as f64 * ((1.0 - worse) / (1.0 - old)).ln()
+    }
+
     /// Returns whether the new version is significantly worse than the old one.
     pub fn is_worse(&self) -> bool {
         let (difference, error) = self.rate_difference();
@@ -159,15 +183,42 @@
         total
     }
 
+    /// Returns the counts summed over all routes, with the old version's answers
+    /// distributed over the routes like the new version's.
+    ///
+    /// A route that fails often on either version would otherwise hide a difference
+    /// on the others, or feign one.
+    fn comparable_total(&self) -> Evidence {
+        let compared = self.routes.values().filter(|e| e.old_answers() > 0);
+        let old_answers: u64 = compared.clone().map(Evidence::old_answers).sum();
+        let mut total = Evidence::default();
+        let mut old_bad = 0.0;
+        for evidence in compared {
+            total.new_good += evidence.new_good;
+            total.new_bad += evidence.new_bad;
+            old_bad += bad_rate(evidence.old_bad, evidence.old_good)
+                * evidence.new_answers() as f64;
+        }
+        let old_rate = old_bad / total.new_answers().max(1) as f64;
+        total.old_bad = (old_rate * old_answers as f64).round() as u64;
+        total.old_good = old_answers - total.old_bad.min(old_answers);
+        total
+    }
+
     /// Returns whether the new version is significantly worse, overall or on
     /// any route.
     pub fn is_worse(&self) -> bool {
-        self.total().is_worse() || self.routes.values().any(Evidence::is_worse)
+        let total = self.comparable_total();
+        let routes = self.routes.values();
+        let likelihood: f64 = routes.map(Evidence::log_likelihood_of_worse).sum();
+        let likely =
+            total.new_bad >= REJECT_MIN_BAD - 1 && likelihood > REJECT_LOG_LIKELIHOOD;
+        likely || total.is_worse() || self.routes.values().any(Evidence::is_worse)
     }
 
     /// Returns whether the new version may get all traffic.
     pub fn is_acceptable(&self) -> bool {
-        let total = self.total();
+        let total = self.comparable_total();
         let within = |evidence: &Evidence, margin: f64| {
             let (difference, error) = evidence.rate_difference();
             difference <= margin.max(ACCEPT_STD_ERRORS * error)
@@ -175,7 +226,7 @@
         let mut routes = self.routes.values().filter(|evidence| {
             evidence.new_answers() >= ROUTE_MIN_ANSWERS && evidence.new_bad > 1
         });
-        total.new_answers() >= ACCEPT_MIN_ANSWERS
+        self.total().new_answers() >= ACCEPT_MIN_ANSWERS
             && within(&total, ACCEPT_MARGIN)
             && routes.all(|evidence| within(evidence, ROUTE_MARGIN))
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -196,3 +196,46 @@
         }
     }
 }
+
+/// Regression test: a route that failed at either version hid that the new one failed
+/// on another (EXPOSURE).
+#[test]
+fn failing_route_does_not_hide_a_bad_version() {
+    let mut evidence = RouteEvidence::default();
+    let counts = [
+        (13, 2, 344, 0),
+        (8, 1, 107, 29),
+        (2, 1, 68, 0),
+        (0, 1, 0, 12),
+    ];
+    for (route, (new_good, new_bad, old_good, old_bad)) in (0..).zip(counts) {
+        *evidence.route_mut(route) = Evidence {
+            new_good,
+            new_bad,
+            old_good,
+            old_bad,
+        };
+    }
+    assert!(evidence.is_worse());
+}
+
+/// The same route does not make a good version look bad, which gets more of its
+/// requests by chance.
+#[test]
+fn failing_route_does_not_make_a_good_version_look_bad() {
+    let mut evidence = RouteEvidence::default();
+    *evidence.route_mut(1) = Evidence {
+        new_good: 30,
+        new_bad: 0,
+        old_good: 530,
+        old_bad: 2,
+    };
+    *evidence.route_mut(2) = Evidence {
+        new_good: 0,
+        new_bad: 8,
+        old_good: 0,
+        old_bad: 60,
+    };
+    assert!(!evidence.is_worse());
+    assert!(evidence.is_acceptable());
+}
