Limit the requests that a version gets until its deadline, whatever it answered

The limit on exposure ended with the verdict, so every version that is bad unseen broke it.

A version is now accepted only when the requests until the deadline fit into what is left of the limit, or after the deadline, when traffic rises over 10 s. Its completion is recorded at the end of the time, since it cannot be undone. Requests without a session reach it in bursts, at half of its endpoints, so that the trial is more load than the traffic it is accepted for; a retry of such a request goes to the old version, and so does one for which no endpoint of the new version is there.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -86,9 +86,6 @@
     pub any_model: bool,
     /// Digest of the session's id.
     pub session: Option<u64>,
-    /// Digest of the session's id, or of the request id if there is no session. All
-    /// gateways derive the same rollout sample and service from it.
-    pub sampling_key: u64,
 }
 
 impl CallerRequest {
@@ -158,9 +155,9 @@
         && text(&names.model) == Some(names.any_model);
     let session = text(&names.session).map(digest_text);
     let id = head.headers.get(&names.request_id).cloned().ok_or(BAD_ID)?;
-    let sampling_key =
+    let split_key =
         session.unwrap_or_else(|| digest_text(id.to_str().unwrap_or_default()));
-    let service = route.service_for(sampling_key).ok_or(NO_ROUTE)?.to_owned();
+    let service = route.service_for(split_key).ok_or(NO_ROUTE)?.to_owned();
     let priority = priority.unwrap_or(route.priority);
     Ok(CallerRequest {
         id,
@@ -182,7 +179,6 @@
         prompt,
         any_model,
         session,
-        sampling_key,
         catalog,
     })
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use route::{HealthSample, first_size};
+use route::{HealthSample, Sampling, first_size};
 
 use crate::{
     attempt::{
@@ -377,15 +377,10 @@
             return None;
         }
         loop {
-            // Assigned again for each attempt, since a rollout may have started or
-            // been halted after the last one.
-            let req = &self.req;
-            self.assignment = self.gateway.assign_rollout(
-                &req.service,
-                req.session,
-                req.sampling_key,
-            );
-            let in_flight = self.pick_endpoint(None).await;
+            let mut in_flight = self.assign_and_pick(self.sampling()).await;
+            if in_flight.is_none() && self.sampling() == Sampling::Arrival {
+                in_flight = self.assign_and_pick(Sampling::Retry).await;
+            }
             if in_flight.is_some() {
                 return in_flight;
             }
@@ -399,6 +394,22 @@
         }
     }
 
+    /// Assigns the request to a version and picks an endpoint of it. It is assigned
+    /// for each attempt, since a rollout may have started or been halted after the
+    /// last one.
+    async fn assign_and_pick(&mut self, sampling: Sampling) -> Option<InFlight> {
+        self.assignment = self.gateway.assign_rollout(&self.req.service, sampling);
+        self.pick_endpoint(None).await
+    }
+
+    fn sampling(&self) -> Sampling {
+        match self.req.session {
+            Some(session) => Sampling::Session(session),
+            None if self.sent_count == 0 => Sampling::Arrival,
+            None => Sampling::Retry,
+        }
+    }
+
     /// Whether the deadline and the numbers of attempts allow another one.
     fn may_attempt(&self) -> bool {
         self.req.left_ms(self.gateway.now()) >= ATTEMPT_MIN_MS
--- a/crates/gateway/src/rollout_recorder.rs
+++ b/crates/gateway/src/rollout_recorder.rs
@@ -29,7 +29,7 @@
         if rollout.progress.halted {
             return Some(RolloutState::RolledBack);
         }
-        if self.is_fully_shifted(rollout, now) {
+        if rollout.progress.may_complete(now) && self.is_fully_shifted(rollout, now) {
             return Some(RolloutState::Completed);
         }
         let known = rollout.progress.started.is_some();
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -5,7 +5,8 @@
 use clock::Millis;
 use log::{info, warn};
 use route::{
-    RouteEvidence, ServiceRollout, Side, VersionFilter, digest_text, is_sampled,
+    ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side, VersionFilter,
+    digest_text, is_sampled,
 };
 use store::LogPosition;
 
@@ -16,11 +17,6 @@
     state::Gateway,
 };
 
-/// Fraction of the allowed exposure that an unproven version gets. Sessions
-/// are sampled and some send more requests than others, so the share of requests
-/// may exceed the share of sessions.
-const EXPOSURE_MARGIN: f64 = 0.67;
-
 /// Time for which the last evidence of a silent peer is used, ms.
 const EVIDENCE_EXPIRY_MS: u64 = 20_000;
 
@@ -63,18 +59,23 @@
 }
 
 /// Assignment of a request by the rollout of its service.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct RolloutAssignment {
     /// The version that is rolled out, if any.
     pub target: Option<String>,
     /// Whether the request goes to the new or the old version.
     pub side: Option<Side>,
+    /// Fraction of the new version's endpoints that may serve the request.
+    endpoint_fraction: f64,
 }
 
 impl RolloutAssignment {
     /// Returns the versions that may serve the request.
     pub fn versions(&self) -> VersionFilter<'_> {
         match (&self.target, self.side) {
+            (Some(target), Some(Side::New)) if self.endpoint_fraction < 1.0 => {
+                VersionFilter::Trial(target, self.endpoint_fraction)
+            }
             (Some(target), Some(Side::New)) => VersionFilter::Only(target),
             (Some(target), Some(Side::Old)) => VersionFilter::Not(target),
             _ => VersionFilter::Any,
@@ -153,44 +154,46 @@
         self.statuses.borrow().state(&rollout.order)
     }
 
-    /// Assigns a request to a version. `sampling_key` decides if no recent version
-    /// of `session` is known.
+    /// Assigns a request to a version.
     pub fn assign_rollout(
         &self,
         service: &str,
-        session: Option<u64>,
-        sampling_key: u64,
+        sampling: Sampling,
     ) -> RolloutAssignment {
         let rollouts = self.rollouts.borrow();
         let Some(rollout) = rollouts.get(service) else {
             return RolloutAssignment::default();
         };
-        let target = &rollout.order.target;
-        let side = match self.recorded_state(rollout) {
-            Some(RolloutState::Completed) => Side::New,
-            Some(RolloutState::RolledBack) => Side::Old,
-            Some(RolloutState::Running) | None => {
-                let now = self.now();
-                let last =
-                    session.and_then(|session| self.session_version(session, now));
-                let last = last.map(|version| {
-                    if version == digest_text(target) {
-                        Side::New
-                    } else {
-                        Side::Old
-                    }
-                });
-                rollout
-                    .progress
-                    .assign(last, sampling_key, rollout.share, now)
-            }
+        let (side, endpoint_fraction) = match self.recorded_state(rollout) {
+            Some(RolloutState::Completed) => (Side::New, 1.0),
+            Some(RolloutState::RolledBack) => (Side::Old, 1.0),
+            Some(RolloutState::Running) | None => self.assign_open(rollout, sampling),
         };
         RolloutAssignment {
-            target: Some(target.clone()),
+            target: Some(rollout.order.target.clone()),
             side: Some(side),
+            endpoint_fraction,
         }
     }
 
+    /// Assigns a request to a version of a rollout that is not over, and to a fraction
+    /// of the new version's endpoints.
+    fn assign_open(&self, rollout: &Rollout, sampling: Sampling) -> (Side, f64) {
+        let now = self.now();
+        let target = digest_text(&rollout.order.target);
+        let last = match sampling {
+            Sampling::Session(session) => self.session_version(session, now),
+            Sampling::Arrival | Sampling::Retry => None,
+        };
+        let last = last.map(|version| match version == target {
+            true => Side::New,
+            false => Side::Old,
+        });
+        let (progress, share) = (&rollout.progress, rollout.share);
+        let side = progress.assign(last, sampling, share, now);
+        (side, progress.endpoint_fraction(sampling))
+    }
+
     fn merged_evidence(&self, rollout: &Rollout, now: Millis) -> RouteEvidence {
         let mut all = rollout.progress.local_evidence.clone();
         for peer_status in self.peers.borrow().heard_within(EVIDENCE_EXPIRY_MS, now) {
@@ -205,9 +208,12 @@
         all
     }
 
-    /// Returns the fraction of sessions that an unproven version gets.
-    fn exposure(&self) -> f64 {
-        self.settings.gateway.expose_share * EXPOSURE_MARGIN
+    /// Returns the limit on the requests that a version gets before its deadline.
+    fn exposure_limit(&self) -> ExposureLimit {
+        ExposureLimit {
+            share: self.settings.gateway.expose_share,
+            slack: self.settings.gateway.expose_slack,
+        }
     }
 
     /// Whether the peers need to know the version of the session, because they
@@ -217,10 +223,10 @@
     /// when an order arrives must not change its version.
     pub fn is_shared_session(&self, service: &str, session: u64) -> bool {
         let rollouts = self.rollouts.borrow();
-        let accepted = rollouts
-            .get(service)
-            .is_some_and(|rollout| rollout.progress.accepted && rollout.share < 1.0);
-        accepted || is_sampled(session, self.exposure())
+        let moving = rollouts.get(service).is_some_and(|rollout| {
+            rollout.progress.accepted_in_time && self.is_open(rollout)
+        });
+        moving || is_sampled(session, self.exposure_limit().trial_share())
     }
 
     /// Counts an answer of `version` as evidence.
@@ -325,7 +331,7 @@
             let peers = self.peers.borrow();
             !peers.any_heard() || peers.fresh_statuses(now).next().is_some()
         };
-        let exposure = self.exposure();
+        let limit = self.exposure_limit();
         let mut rollouts = self.rollouts.borrow_mut();
         for (service, rollout) in rollouts.iter_mut() {
             if !self.is_open(rollout) {
@@ -334,8 +340,8 @@
             let all = self.merged_evidence(rollout, now);
             let progress = &mut rollout.progress;
             let before = (progress.halted, progress.accepted);
-            progress.evaluate(&all, in_touch, now);
-            rollout.share = progress.share(exposure, &all, now);
+            progress.evaluate(&all, limit, in_touch, now);
+            rollout.share = progress.share(limit, &all, now);
             if before == (progress.halted, progress.accepted) {
                 continue;
             }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,7 +38,9 @@
     BalancePolicy, Locality, PickError, PickSettings, Report, Runner, RunnerKey,
     RunnerOutcome, Runners, Target,
 };
-pub use service_rollout::{Evidence, RouteEvidence, ServiceRollout, Side, is_sampled};
+pub use service_rollout::{
+    Evidence, ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side, is_sampled,
+};
 pub use size::{
     FirstSize, SizeSettings, escalation_size, first_size, is_worth_escalating,
 };
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -252,6 +252,11 @@
         // than the failures do.
         let ignore_health = healthy * 2 < candidates.len();
         candidates.retain(|stats| ignore_health || stats.health.is_available(now));
+        if let VersionFilter::Trial(_, fraction) = request.versions {
+            // All gateways have them in the order of their ids.
+            let count = (candidates.len() as f64 * fraction).ceil() as usize;
+            candidates.truncate(count.max(1));
+        }
         // Every gateway derives the same order, so all prefer the same endpoint
         // for a prefix.
         candidates.sort_by_cached_key(|stats| stats.rank(request));
--- a/crates/route/src/pool/pick.rs
+++ b/crates/route/src/pool/pick.rs
@@ -72,13 +72,16 @@
 }
 
 /// Versions of a service that may serve a request.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum VersionFilter<'a> {
     /// Every version.
     #[default]
     Any,
     /// Only this version.
     Only(&'a str),
+    /// Only this version, at the first endpoints that make up this fraction of those
+    /// that take requests.
+    Trial(&'a str, f64),
     /// Every version except this one.
     Not(&'a str),
 }
@@ -88,7 +91,9 @@
     pub fn allows(self, version: &str) -> bool {
         match self {
             VersionFilter::Any => true,
-            VersionFilter::Only(only) => only == version,
+            VersionFilter::Only(only) | VersionFilter::Trial(only, _) => {
+                only == version
+            }
             VersionFilter::Not(not) => not != version,
         }
     }
--- a/crates/route/src/service_rollout.rs
+++ b/crates/route/src/service_rollout.rs
@@ -20,15 +20,32 @@
 /// version.
 const MIGRATE_FROM: f64 = 0.5;
 
-/// Fraction of the rollout time after which an accepted version gets all
-/// traffic.
-const FULL_FROM: f64 = 0.58;
+/// Fraction of [`ExposureLimit::share`] that is used for the trial of a version.
+/// Some sessions send more requests than others, and the rest is needed for the
+/// requests between the shift of all traffic and the deadline.
+const TRIAL_FRACTION: f64 = 0.45;
 
-/// Share of an accepted version between [`MIGRATE_FROM`] and [`FULL_FROM`].
-const INTERIM_SHARE: f64 = 0.35;
+/// Fraction of the exposure limit that is planned for, since counts of other
+/// gateways are some hundred milliseconds old and traffic may rise.
+const PLANNED_FRACTION: f64 = 0.8;
+
+/// Time between the trials of requests without a session, ms.
+const BURST_INTERVAL_MS: u64 = 3_000;
+
+/// Fraction of a version's endpoints that take a burst of requests without a
+/// session; each then has more load than all traffic would give it.
+const BURST_ENDPOINTS: f64 = 0.5;
+
+/// Time after the deadline in which traffic moves to a version that could not be
+/// accepted earlier, ms. Its engines have not read the shared prompts yet.
+const RAMP_MS: u64 = 10_000;
+
+/// Time before the deadline at which a completion is recorded, ms; it leaves time
+/// to try again. A completion cannot be undone, so it is not recorded earlier.
+const COMPLETION_LEAD_MS: u64 = 800;
 
 /// Minimum number of answers before the new version can be accepted.
-const ACCEPT_MIN_ANSWERS: u64 = 30;
+const ACCEPT_MIN_ANSWERS: u64 = 12;
 
 /// Amount by which an accepted version's rate of bad answers may exceed the old
 /// version's.
@@ -37,7 +54,7 @@
 /// Number of standard errors by which an accepted version's rate of bad answers
 /// may exceed the old version's, if that is more than [`ACCEPT_MARGIN`]: a good
 /// version can look worse by chance while it has few answers.
-const ACCEPT_STD_ERRORS: f64 = 1.4;
+const ACCEPT_STD_ERRORS: f64 = 2.0;
 
 /// Minimum number of answers before a route is evaluated on its own.
 const ROUTE_MIN_ANSWERS: u64 = 6;
@@ -69,12 +86,24 @@
 /// [`ASSUMED_EXCESS`] than if it is like the old one, for it to be rejected.
 const REJECT_LOG_LIKELIHOOD: f64 = 5.0;
 
-/// Limit on the fraction of all requests sent to a version that is not
-/// accepted, as a multiple of the share of sessions sampled for it.
-const EXPOSURE_FACTOR: f64 = 1.3;
+/// Limit on the requests that a version may get before the deadline of its rollout.
+///
+/// It holds whatever the evidence says: a version may be bad in a way that no answer
+/// shows before all traffic has moved. See `docs/incidents/`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExposureLimit {
+    /// Fraction of all requests to the service between the order and the deadline.
+    pub share: f64,
+    /// Number of requests on top of the share.
+    pub slack: f64,
+}
 
-/// Requests allowed on top of [`EXPOSURE_FACTOR`].
-const EXPOSURE_SLACK: f64 = 15.0;
+impl ExposureLimit {
+    /// Returns the fraction of sessions that an unproven version gets.
+    pub fn trial_share(&self) -> f64 {
+        self.share * TRIAL_FRACTION
+    }
+}
 
 /// Answer counts of both versions, from one gateway or summed over all.
 ///
@@ -231,14 +260,14 @@
             && routes.all(|evidence| within(evidence, ROUTE_MARGIN))
     }
 
-    /// Returns whether the new version already got as many requests as a
-    /// version that is not accepted may get.
-    fn exceeds_exposure(&self, exposure: f64, fraction: f64) -> bool {
+    /// Returns how many requests the new version may still get after `fraction` of
+    /// the rollout time, and how many are expected until its end.
+    fn room_and_rest(&self, limit: ExposureLimit, fraction: f64) -> (f64, f64) {
         let total = self.total();
         let answers = (total.new_answers() + total.old_answers()) as f64;
         let expected = answers / fraction.clamp(0.05, 1.0);
-        total.new_answers() as f64
-            > expected * exposure * EXPOSURE_FACTOR + EXPOSURE_SLACK
+        let allowed = (limit.share * expected + limit.slack) * PLANNED_FRACTION;
+        (allowed - total.new_answers() as f64, expected - answers)
     }
 }
 
@@ -258,6 +287,8 @@
     pub halted: bool,
     /// Whether this gateway accepted the new version for all traffic.
     pub accepted: bool,
+    /// Whether it did so before the deadline.
+    pub accepted_in_time: bool,
 }
 
 /// Returns whether a session with this hash belongs to the `share` of sessions
@@ -268,6 +299,18 @@
     ((hash % BUCKETS) as f64) < share * BUCKETS as f64
 }
 
+/// How a request is sampled for the new version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Sampling {
+    /// By this hash of its session, which is the same at every gateway.
+    Session(u64),
+    /// By the time at which it arrives, since it belongs to no session.
+    Arrival,
+    /// Not at all while the version is on trial, since the request belongs to no
+    /// session and an endpoint has failed it, or none takes it.
+    Retry,
+}
+
 /// Version that serves a request during a rollout.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Side {
@@ -287,6 +330,7 @@
             local_evidence: RouteEvidence::default(),
             halted: false,
             accepted: false,
+            accepted_in_time: false,
         }
     }
 
@@ -297,13 +341,15 @@
 
     /// Halts or accepts the new version on the evidence of all gateways.
     ///
-    /// A gateway that cannot reach its peers (`peers_reachable`) has too little
+    /// An accepted version gets all traffic, so it is accepted only when the requests
+    /// until the deadline are within `limit`; afterwards there is no limit. A
+    /// gateway that cannot reach its peers (`peers_reachable`) has too little
     /// evidence to accept a version. Acceptance lasts unless the version is
-    /// halted, since a falling share would move sessions back to the old
-    /// version.
+    /// halted, since a falling share would move sessions back to the old version.
     pub fn evaluate(
         &mut self,
         all: &RouteEvidence,
+        limit: ExposureLimit,
         peers_reachable: bool,
         now: Millis,
     ) {
@@ -311,11 +357,21 @@
         if all.is_worse() {
             self.halted = true;
         }
-        if fraction >= MIGRATE_FROM && peers_reachable && all.is_acceptable() {
+        let (room, rest) = all.room_and_rest(limit, fraction);
+        let fits = fraction >= 1.0 || rest <= room;
+        let due = fraction >= MIGRATE_FROM && fits;
+        if due && peers_reachable && !self.accepted && all.is_acceptable() {
             self.accepted = true;
+            self.accepted_in_time = fraction < 1.0;
         }
     }
 
+    /// Returns whether the completion may be recorded now.
+    pub fn may_complete(&self, now: Millis) -> bool {
+        let elapsed_ms = self.elapsed_ms(now).unwrap_or(0);
+        elapsed_ms + COMPLETION_LEAD_MS >= self.within_ms
+    }
+
     /// Returns the elapsed fraction of the rollout time, or zero if the age of
     /// the order is unknown.
     fn elapsed_fraction(&self, now: Millis) -> f64 {
@@ -325,48 +381,69 @@
 
     /// Returns the share of new sessions that get the new version, 0 to 1.
     ///
-    /// `exposure` is the share before acceptance. The share falls only if the
-    /// version is halted, or if it exceeded the exposure limit before
-    /// acceptance.
-    pub fn share(&self, exposure: f64, all: &RouteEvidence, now: Millis) -> f64 {
+    /// The share falls only if the version is halted, or if the trial used up
+    /// `limit`.
+    pub fn share(&self, limit: ExposureLimit, all: &RouteEvidence, now: Millis) -> f64 {
         let fraction = self.elapsed_fraction(now);
         if self.halted || fraction < WARM_UP_UNTIL {
             return 0.0;
         }
         if self.accepted {
-            return if fraction < FULL_FROM {
-                INTERIM_SHARE
-            } else {
-                1.0
-            };
+            return self.accepted_share(limit, now);
         }
-        if all.exceeds_exposure(exposure, fraction) {
-            0.0
-        } else {
-            exposure
+        let (room, _) = all.room_and_rest(limit, fraction);
+        if room > 0.0 { limit.trial_share() } else { 0.0 }
+    }
+
+    /// Returns the share of an accepted version: all at once before the deadline, when
+    /// there is no time to lose, and rising after it. Gateways that accept it at
+    /// different times agree on the share after the deadline.
+    fn accepted_share(&self, limit: ExposureLimit, now: Millis) -> f64 {
+        if self.accepted_in_time {
+            return 1.0;
         }
+        let over_ms = self
+            .elapsed_ms(now)
+            .unwrap_or(0)
+            .saturating_sub(self.within_ms);
+        let ramp = (over_ms as f64 / RAMP_MS as f64).min(1.0);
+        let trial = limit.trial_share();
+        trial + (1.0 - trial) * ramp
     }
 
-    /// Returns the version for a session, given the version it last used and
-    /// `hash`, a hash of the session that is the same at every gateway.
+    /// Returns the fraction of the new version's endpoints that take a request.
+    ///
+    /// A version may fail only under load, so bursts go to few endpoints, which then
+    /// have more load than all traffic would give them. Prompts are spread, since
+    /// an engine that has to read them all is slow whatever its version.
+    pub fn endpoint_fraction(&self, sampling: Sampling) -> f64 {
+        match sampling {
+            Sampling::Arrival if !self.accepted => BURST_ENDPOINTS,
+            Sampling::Arrival | Sampling::Retry | Sampling::Session(_) => 1.0,
+        }
+    }
+
+    /// Returns the version for a request, given the version that its session last
+    /// used.
     ///
     /// A session keeps its version during the first half of the rollout time,
     /// and never returns to the old version unless the rollout is halted.
     pub fn assign(
         &self,
         last: Option<Side>,
-        hash: u64,
+        sampling: Sampling,
         share: f64,
         now: Millis,
     ) -> Side {
         if self.halted {
             return Side::Old;
         }
-        let sampled = if is_sampled(hash, share) {
-            Side::New
-        } else {
-            Side::Old
+        let is_sampled = match sampling {
+            Sampling::Session(hash) => is_sampled(hash, share),
+            Sampling::Arrival => share >= 1.0 || self.is_in_burst(share, now),
+            Sampling::Retry => share >= 1.0,
         };
+        let sampled = if is_sampled { Side::New } else { Side::Old };
         let first_half = self.elapsed_fraction(now) < MIGRATE_FROM;
         match last {
             Some(Side::New) => Side::New,
@@ -374,4 +451,12 @@
             _ => sampled,
         }
     }
+
+    /// Whether requests without a session go to the new version now: all of them for
+    /// `share` of each [`BURST_INTERVAL_MS`], so that they meet there.
+    fn is_in_burst(&self, share: f64, now: Millis) -> bool {
+        let elapsed_ms = self.elapsed_ms(now).unwrap_or(0);
+        let phase_ms = (elapsed_ms + BURST_INTERVAL_MS / 2) % BURST_INTERVAL_MS;
+        (phase_ms as f64) < share * BURST_INTERVAL_MS as f64
+    }
 }
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -488,6 +488,13 @@
         decimal(0.0, 1.0),
         "Maximum fraction of a service's requests that a bad version may receive.",
     ),
+    key(
+        "gateway",
+        "expose_slack",
+        "30",
+        decimal(0.0, 100_000.0),
+        "Number of requests that a bad version may receive on top of that fraction.",
+    ),
     key(
         "gateway",
         "session_s",
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -187,6 +187,8 @@
     pub retry_window_s: f64,
     /// Maximum fraction of a service's requests that a bad version may receive.
     pub expose_share: f64,
+    /// Number of requests that a bad version may receive on top of `expose_share`.
+    pub expose_slack: f64,
     /// Idle time after which a session may switch to another version, s.
     pub session_s: f64,
     /// Maximum time that a request waits for the first configuration, ms.
@@ -463,6 +465,7 @@
         retry_share: decimal("retry_share"),
         retry_window_s: decimal("retry_window_s"),
         expose_share: decimal("expose_share"),
+        expose_slack: decimal("expose_slack"),
         session_s: decimal("session_s"),
         start_wait_ms: raw.number("gateway", "start_wait_ms"),
     }
