Judge a slow answer by its route's objective

The margin is now a quarter of the objective, 150 ms at most, and an endpoint that has just started does not count as slow, since old and new version are compared.

Test: answer_several_times_slower_than_usual_is_slow_on_a_fast_route; the rule before calls 110 ms against 15 ms fast.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use catalog::Endpoint;
 use clock::Millis;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
@@ -208,7 +209,7 @@
                 self.set_version(&endpoint.version);
             }
             let head_ms = self.gateway.now().since(sent_at);
-            self.record_quality(&endpoint.version, &sent, head_ms);
+            self.record_quality(endpoint, &sent, head_ms);
             log::debug!(
                 "event=attempt_head request={} endpoint={} route={} session={} version={} tokens_in={} model={} uncached={} running={} elsewhere={} predicted_ms={} head_ms={head_ms} good={}",
                 id_str(&self.req.id),
@@ -343,27 +344,34 @@
     /// version.
     ///
     /// Only the first attempt counts: some requests fail at every endpoint, so a
-    /// retry is no independent evidence.
+    /// retry is no independent evidence. An endpoint that has just started is slow
+    /// whatever its version.
     fn record_quality(
         &self,
-        version: &str,
+        endpoint: &Endpoint,
         sent: &Result<Answer, Failure>,
         head_ms: u64,
     ) {
         if self.sent_count > 1 {
             return;
         }
+        let answered = matches!(sent, Ok(a) if !a.response.status().is_server_error());
         let quality = match sent {
-            Ok(answer) if answer.response.status().is_server_error() => Quality::Bad,
+            Ok(_) if !answered => Quality::Bad,
             Ok(_) => {
                 let model = self.model().unwrap_or("");
                 let baselines = &self.gateway.latency_baselines;
-                baselines.observe(&self.req.route().name, model, head_ms)
+                baselines.observe(self.req.route(), model, head_ms)
             }
             Err(Failure::MayHaveRun(_)) => Quality::Bad,
             Err(_) => return,
         };
-        self.gateway.record_outcome(&self.req, version, quality);
+        let starting = endpoint.warmup_left_ms > 0;
+        let only_slow = quality == Quality::Bad && answered;
+        if !(starting && only_slow) {
+            self.gateway
+                .record_outcome(&self.req, &endpoint.version, quality);
+        }
     }
 
     /// Picks the endpoint of the next attempt; `None` if there is none, or if the
--- a/crates/gateway/src/latency.rs
+++ b/crates/gateway/src/latency.rs
@@ -2,18 +2,14 @@
 
 use std::{cell::RefCell, collections::HashMap};
 
+use catalog::Route;
+use route::is_slow;
+
 use crate::rollouts::Quality;
 
 /// Weight of one answer in the moving average.
 const WEIGHT: f64 = 0.05;
 
-/// An answer is slow if it takes longer than this multiple of the baseline and
-/// exceeds the baseline by more than [`SLOW_MARGIN_MS`].
-const SLOW_FACTOR: f64 = 5.0;
-
-/// See [`SLOW_FACTOR`].
-const SLOW_MARGIN_MS: f64 = 150.0;
-
 /// Maximum number of tracked pairs of route and model.
 const SERIES_MAX: usize = 1_000;
 
@@ -34,16 +30,15 @@
     /// Compares `head_ms` with the baseline and then updates the baseline.
     ///
     /// A pair of route and model beyond the limit always counts as good.
-    pub fn observe(&self, route: &str, model: &str, head_ms: u64) -> Quality {
+    pub fn observe(&self, route: &Route, model: &str, head_ms: u64) -> Quality {
         let mut baselines = self.baselines.borrow_mut();
         let head_ms = head_ms as f64;
-        let key = (route.to_owned(), model.to_owned());
+        let key = (route.name.clone(), model.to_owned());
         if baselines.len() >= SERIES_MAX && !baselines.contains_key(&key) {
             return Quality::Good;
         }
         let baseline = baselines.entry(key).or_insert(head_ms);
-        let slow =
-            head_ms > *baseline * SLOW_FACTOR && head_ms > *baseline + SLOW_MARGIN_MS;
+        let slow = is_slow(head_ms, *baseline, route.objective_ms);
         // A geometric average, which a few slow answers hardly raise.
         let ratio = (head_ms.max(1.0) / baseline.max(1.0)).ln();
         *baseline = baseline.max(1.0) * (ratio * WEIGHT).exp();
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,7 @@
 mod runners;
 mod service_rollout;
 mod size;
+mod slow;
 mod ticket;
 mod version;
 
@@ -44,6 +45,7 @@
 pub use size::{
     FirstSize, SizeSettings, escalation_size, first_size, is_worth_escalating,
 };
+pub use slow::is_slow;
 pub use ticket::{Ticket, TicketError, TicketKeys};
 pub use version::{
     ModelSelector, SelectionError, Session, VersionChoice, choose_version,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -314,3 +314,15 @@
     assert_eq!(at(10_000), 1.0);
     assert_eq!(share(WITHIN_MS + 1_000, WITHIN_MS + 2_000), at(2_000));
 }
+
+/// Regression test: a version of a plain service that answered several times slower, in
+/// a tenth of a second, was accepted, since only 150 ms more counted (EXPOSURE).
+#[test]
+fn answer_several_times_slower_than_usual_is_slow_on_a_fast_route() {
+    assert!(is_slow(110.0, 15.0, 100));
+    assert!(!is_slow(35.0, 15.0, 100));
+    assert!(!is_slow(30.0, 2.0, 400));
+    assert!(!is_slow(900.0, 300.0, 2_000));
+    assert!(is_slow(1_300.0, 300.0, 2_000));
+    assert!(!is_slow(140.0, 15.0, 0));
+}
