--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -3,7 +3,9 @@
 
 use clock::Millis;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::{Evidence, ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side};
+use route::{
+    Evidence, ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side, is_slow,
+};
 
 const WITHIN_MS: u64 = 24_000;
 const LIMIT: ExposureLimit = ExposureLimit {
