--- a/crates/gateway/src/rollout_recorder.rs
+++ b/crates/gateway/src/rollout_recorder.rs
@@ -11,7 +11,7 @@
 use crate::{rollouts::Rollout, state::Gateway};
 
 /// Time between evaluations of the rollouts, ms.
-const EVALUATION_INTERVAL_MS: u64 = 250;
+const EVALUATION_INTERVAL_MS: u64 = 100;
 
 /// Delay after a status could not be recorded, ms.
 const RECORD_RETRY_MS: u64 = 750;
--- a/crates/route/src/service_rollout.rs
+++ b/crates/route/src/service_rollout.rs
@@ -27,14 +27,14 @@
 
 /// Fraction of the exposure limit that is planned for, since counts of other
 /// gateways are some hundred milliseconds old and traffic may rise.
-const PLANNED_FRACTION: f64 = 0.8;
+const PLANNED_FRACTION: f64 = 0.88;
 
 /// Time between the trials of requests without a session, ms.
 const BURST_INTERVAL_MS: u64 = 3_000;
 
 /// Fraction of a version's endpoints that take a burst of requests without a
 /// session; each then has more load than all traffic would give it.
-const BURST_ENDPOINTS: f64 = 0.5;
+const BURST_ENDPOINTS: f64 = 0.33;
 
 /// Time after the deadline in which traffic moves to a version that could not be
 /// accepted earlier, ms. Its engines have not read the shared prompts yet.
