Keep to the limit that an endpoint names, as one budget of all gateways

The gateway that tracks an endpoint grants its requests one by one from a budget that starts empty and is scaled by the part of the fleet that it hears; without a grant the request goes elsewhere, or is refused with the time to return. Peers are told of limits and of their ends, and a new peer of all of them.

Tests fail before: with the header read but not kept, endpoint_gets_no_more_than_its_limit_from_all_gateways sees 300 requests in 318 ms, and request_beyond_all_limits_is_refused_as_not_run a 200. budgets_of_a_changing_fleet_stay_within_the_limit plays the takeover and the cut. limit_ends_when_an_answer_names_none failed three times in four while it was written: its requests came so fast that the bound on log lines dropped the line it waits for; it now sends one every 10 ms.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -64,6 +64,8 @@
 pub(crate) struct InFlight {
     gateway: Rc<Gateway>,
     pub pick: Pick,
+    /// When the endpoint was picked.
+    pub started: Millis,
     pace: f64,
     prefilling: bool,
     /// Digest of the endpoint's id.
@@ -93,6 +95,7 @@
         }
         InFlight {
             gateway: gateway.clone(),
+            started: now,
             pace: request.pace,
             pick,
             prefilling: true,
@@ -328,6 +331,7 @@
         let takes_requests = {
             let pool = gateway.pool.borrow();
             pool.takes_requests(&endpoint.id, gateway.now())
+                && pool.limit_of(&endpoint.id).is_none()
         };
         // The request may have arrived, so sending it again counts as a retry.
         if !takes_requests || !gateway.try_retry(&endpoint.service) {
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -36,6 +36,9 @@
 /// Maximum number of endpoints, and of parts of a prompt, in one question.
 const QUERIED_MAX: usize = 16;
 
+/// Maximum number of limits in one datagram.
+pub(crate) const LIMITS_MAX: usize = 64;
+
 /// Maximum evidence count that is accepted from one peer, so that one faulty
 /// datagram cannot outweigh all other evidence.
 pub(crate) const COUNT_MAX: u64 = 100_000;
@@ -107,6 +110,39 @@
     LoadAnswer(LoadAnswer),
     /// Tells of a run at an endpoint that the receiver tracks.
     LoadReport(LoadReport),
+    /// Limits that endpoints named, or no longer name.
+    Limits(Vec<LimitNotice>),
+    /// Asks for a request to an endpoint that the receiver tracks.
+    LimitQuestion(LimitQuestion),
+    /// Answers a [`LimitQuestion`].
+    LimitAnswer(LimitAnswer),
+}
+
+/// The limit of an endpoint on the requests of all gateways.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LimitNotice {
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// Thousandths of a request a second; `None` if the endpoint names none.
+    pub milli_per_s: Option<u64>,
+}
+
+/// Asks whether one request may be sent to an endpoint that named a limit.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LimitQuestion {
+    /// Number that the answer repeats.
+    pub number: u64,
+    /// The limit, which the receiver may not have heard of.
+    pub limit: LimitNotice,
+}
+
+/// Grants one request, or does not.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LimitAnswer {
+    /// Number of the question.
+    pub number: u64,
+    /// Time after which to ask again, ms; zero if the request is granted.
+    pub wait_ms: u32,
 }
 
 /// Asks for the load of endpoints before a request is sent to one of them.
@@ -249,6 +285,8 @@
             }
             RunEvent::PrefillEnded | RunEvent::Ended => true,
         },
+        Datagram::Limits(limits) => limits.len() <= LIMITS_MAX,
+        Datagram::LimitQuestion(_) | Datagram::LimitAnswer(_) => true,
     };
     sane.then_some(datagram)
 }
--- a/crates/gateway/src/endpoint_state.rs
+++ b/crates/gateway/src/endpoint_state.rs
@@ -1,12 +1,12 @@
 //! What endpoints say about themselves in their responses: that they are draining,
-//! or that they want no requests for some time.
+//! that they want no requests for some time, or how many they take.
 
 use std::rc::Rc;
 
 use clock::Clock;
 use http::{HeaderMap, StatusCode};
 use log::{info, warn};
-use platform::RetryAfter;
+use platform::{NamedLimit, RetryAfter};
 
 use crate::{attempt::InFlight, state::Gateway};
 
@@ -25,6 +25,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
+    gateway.record_named_limit(in_flight, NamedLimit::from_headers(headers));
     if gateway.names.is_draining(headers) {
         record_draining(gateway, in_flight);
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -47,8 +47,10 @@
         Some(Datagram::Status(status)) => {
             gateway.stats.count("peer_words", "taken");
             gateway.merge_rollout_reports(&status);
-            if gateway.peers.borrow_mut().record_status(from, status, now) {
+            let is_new = gateway.peers.borrow_mut().record_status(from, status, now);
+            if is_new {
                 info!("event=peer_heard peer={from}");
+                gateway.announce_known_limits();
             }
         }
         Some(Datagram::Update(update)) => {
@@ -71,14 +73,19 @@
                 }
             }
         }
-        Some(load) => receive_load(gateway, &load, from, now),
+        Some(other) => receive_from_heard(gateway, &other, from, now),
         None => gateway.stats.count("peer_words", "malformed"),
     }
 }
 
-/// Handles the datagrams of the exchange with trackers; those of a sender that was not
-/// heard are ignored.
-fn receive_load(gateway: &Gateway, datagram: &Datagram, from: SocketAddr, now: Millis) {
+/// Handles the datagrams of the exchange with trackers and on limits; those of a sender
+/// that was not heard are ignored.
+fn receive_from_heard(
+    gateway: &Gateway,
+    datagram: &Datagram,
+    from: SocketAddr,
+    now: Millis,
+) {
     if !gateway.peers.borrow().is_fresh(from, now) {
         gateway.stats.count("peer_words", "unknown_sender");
         return;
@@ -89,6 +96,11 @@
         }
         Datagram::LoadAnswer(answer) => gateway.record_load_answer(answer),
         Datagram::LoadReport(report) => gateway.record_load_report(report, now),
+        Datagram::Limits(notices) => gateway.record_peer_limits(notices, now),
+        Datagram::LimitQuestion(question) => {
+            gateway.answer_limit_question(from, question, now);
+        }
+        Datagram::LimitAnswer(answer) => gateway.record_limit_answer(answer),
         Datagram::Status(_) | Datagram::Update(_) => {}
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod placement;
 mod relay;
+mod request_limits;
 mod request_log;
 mod rollout_recorder;
 mod rollouts;
--- a/crates/gateway/src/load_query.rs
+++ b/crates/gateway/src/load_query.rs
@@ -229,7 +229,7 @@
     }
 
     /// Sends a datagram without waiting; one that cannot be sent now is dropped.
-    fn send_now(&self, to: SocketAddr, datagram: &Datagram) {
+    pub fn send_now(&self, to: SocketAddr, datagram: &Datagram) {
         let socket = self.load.socket.borrow();
         let Some(socket) = socket.as_ref() else {
             return;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -278,6 +278,11 @@
         chosen.and_then(|(_, tracker)| tracker)
     }
 
+    /// Returns the addresses of all known peers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.keys().copied().collect()
+    }
+
     /// Whether `from` has been heard recently.
     pub fn is_fresh(&self, from: SocketAddr, now: Millis) -> bool {
         self.fresh_statuses(now).any(|(address, _)| address == from)
@@ -319,7 +324,7 @@
         };
         let for_all = !update.sessions.is_empty() || !update.draining.is_empty();
         let receivers = if for_all {
-            self.peers.keys().copied().collect()
+            self.addresses()
         } else {
             self.receivers()
         };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -12,6 +12,10 @@
     dispatch::{Dispatch, id_str},
 };
 
+/// Maximum number of endpoints that are picked for an attempt because those before
+/// had reached the limits that they named.
+const LIMITED_PICKS_MAX: usize = 4;
+
 impl Dispatch {
     /// Picks an endpoint; a resumed stream requires one of `version`.
     pub async fn pick_endpoint(&self, version: Option<&str>) -> Option<InFlight> {
@@ -21,11 +25,16 @@
         };
         let request = self.pick_request(self.size, versions);
         let loads = self.gateway.ask_loads(&request).await;
-        let now = self.gateway.now();
-        let pool = self.gateway.pool.borrow();
-        let pick = pool.pick_tracked(&request, &loads, now)?;
-        drop(pool);
-        Some(InFlight::new(&self.gateway, pick, &request))
+        for _ in 0..LIMITED_PICKS_MAX {
+            let pick = {
+                let pool = self.gateway.pool.borrow();
+                pool.pick_tracked(&request, &loads, self.gateway.now())?
+            };
+            if self.gateway.may_send(&pick.endpoint.id).await {
+                return Some(InFlight::new(&self.gateway, pick, &request));
+            }
+        }
+        None
     }
 
     /// Returns when the first of the endpoints that asked for a pause takes this
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
     latency::LatencyBaselines,
     load_query::LoadExchange,
     peers::Peers,
+    request_limits::LimitExchange,
     rollouts::Rollout,
     stats::Stats,
 };
@@ -59,6 +60,8 @@
     pub pool: RefCell<Pool>,
     /// Exchange of the endpoints' load with the gateways that track it.
     pub load: LoadExchange,
+    /// Exchange on the limits that endpoints name.
+    pub limits_exchange: LimitExchange,
     pub idle_connections: RefCell<IdleConnections>,
     pub stats: Stats,
     pub peers: RefCell<Peers>,
@@ -133,6 +136,7 @@
             sizes,
             pool: RefCell::new(pool),
             load: LoadExchange::new(routing.prefill_tokens_per_ms),
+            limits_exchange: LimitExchange::default(),
             idle_connections: RefCell::default(),
             stats: Stats::default(),
             peers: RefCell::new(peers),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,6 +12,7 @@
 mod objective;
 mod pause;
 mod pool;
+mod request_limit;
 mod retry;
 mod rollout;
 mod rollout_statuses;
@@ -32,6 +33,7 @@
     AnnouncedAt, Costs, DispatchNotice, DrainNotice, PeerCoverage, Pick, PickRequest,
     Pool, TrackedLoads, VersionFilter, digest_text, prefix_digests, rendezvous_weight,
 };
+pub use request_limit::{LIMIT_MIN_PER_S, Permit, RequestBudgets};
 pub use retry::RetryBudget;
 pub use rollout::{GateDecision, GateSample, GateSettings, RolloutGate};
 pub use rollout_statuses::RolloutStatuses;
--- a/crates/route/src/pool/endpoint_stats.rs
+++ b/crates/route/src/pool/endpoint_stats.rs
@@ -70,6 +70,10 @@
     pub announced: AnnouncedAt,
     /// End of the pause that the endpoint asked this gateway for.
     pub paused_until: Millis,
+    /// Requests a second that the endpoint takes from all gateways, if it said so, and
+    /// when this gateway learned of it or of its end.
+    pub limit_per_s: Option<f64>,
+    pub limit_learned: Millis,
     /// End of the time for which a peer's notice that the endpoint is draining is
     /// believed.
     pub peer_draining_until: Millis,
@@ -91,6 +95,8 @@
             unlisted: false,
             announced,
             paused_until: Millis::default(),
+            limit_per_s: None,
+            limit_learned: Millis::default(),
             peer_draining_until: Millis::default(),
         }
     }
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -311,6 +311,46 @@
         }
     }
 
+    /// Returns the requests a second that `id` takes from all gateways, if it said so.
+    pub fn limit_of(&self, id: &str) -> Option<f64> {
+        self.endpoints.get(id)?.limit_per_s
+    }
+
+    /// Returns the limits of all endpoints by the digests of their ids.
+    pub fn limits(&self) -> Vec<(u64, f64)> {
+        let limits = self.endpoints.values();
+        limits
+            .filter_map(|stats| Some((stats.id_digest, stats.limit_per_s?)))
+            .collect()
+    }
+
+    /// Returns the id of the endpoint with this digest.
+    pub fn id_of(&self, digest: u64) -> Option<&str> {
+        self.ids_by_digest.get(&digest).map(String::as_str)
+    }
+
+    /// Sets the limit that `id` named in the answer to a request of `asked`, or the end
+    /// of one; returns whether that is news. An answer that may be older than what is
+    /// known does not end a limit.
+    pub fn set_limit(
+        &mut self,
+        id: &str,
+        per_s: Option<f64>,
+        asked: Millis,
+        now: Millis,
+    ) -> bool {
+        let Some(stats) = self.endpoints.get_mut(id) else {
+            return false;
+        };
+        let outdated = per_s.is_none() && asked < stats.limit_learned;
+        if outdated || stats.limit_per_s == per_s {
+            return false;
+        }
+        stats.limit_per_s = per_s;
+        stats.limit_learned = now;
+        true
+    }
+
     /// Records that the incarnation `born_ms` of `id` said that it is draining;
     /// returns the notice for the other gateways if this was not known.
     pub fn record_draining(&mut self, id: &str, born_ms: u64) -> Option<DrainNotice> {
--- /dev/null
+++ b/crates/route/src/request_limit.rs
@@ -0,0 +1,98 @@
+//! Requests that an endpoint takes from all gateways together.
+//!
+//! An endpoint in need names a number of requests a second. Gateways that each kept to
+//! it would send it a multiple, so one gateway grants the requests of all. Several may
+//! believe to be that one while gateways join, leave or are cut off; a budget therefore
+//! starts empty, and is scaled by the part of the fleet that its gateway hears. See
+//! `docs/design/deployment.md`.
+
+use std::collections::HashMap;
+
+use clock::Millis;
+
+/// Fraction of a limit that is used, since requests arrive less evenly than they are
+/// sent.
+const USED_FRACTION: f64 = 0.9;
+
+/// Minimum number of requests that may follow each other at once.
+const BURST_MIN: f64 = 2.0;
+
+/// Time whose requests may follow each other at once, s.
+const BURST_S: f64 = 0.05;
+
+/// Time for which a new budget grants nothing, s: the gateway that granted before may
+/// not know yet that it has been replaced.
+const START_S: f64 = 1.0;
+
+/// Maximum number of budgets, since questions are not authenticated.
+const BUDGETS_MAX: usize = 4_096;
+
+/// Time after which an unused budget is dropped, ms.
+const BUDGET_EXPIRY_MS: u64 = 20_000;
+
+/// Lowest limit that is kept, requests a second; a lower one counts as this.
+pub const LIMIT_MIN_PER_S: f64 = 0.01;
+
+/// Answer to a question for one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Permit {
+    /// The request may be sent.
+    Granted,
+    /// The next one may be granted after this time, ms.
+    DeniedFor(u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Budget {
+    /// Number of requests that may be sent now; negative while it starts.
+    available: f64,
+    updated: Millis,
+}
+
+/// Budgets of the endpoints for which this gateway grants requests, by the digest of
+/// the endpoint's id.
+#[derive(Clone, Debug, Default)]
+pub struct RequestBudgets {
+    budgets: HashMap<u64, Budget>,
+}
+
+impl RequestBudgets {
+    /// Grants a request to an endpoint that named `per_s`, or says when to ask again.
+    ///
+    /// `part` is the fraction of the fleet, 0 to 1, that this gateway grants for.
+    pub fn take(
+        &mut self,
+        endpoint: u64,
+        per_s: f64,
+        part: f64,
+        now: Millis,
+    ) -> Permit {
+        let rate = per_s.max(LIMIT_MIN_PER_S) * USED_FRACTION * part.clamp(0.01, 1.0);
+        if !self.has_room(endpoint, now) {
+            return Permit::DeniedFor(BUDGET_EXPIRY_MS);
+        }
+        let budget = self.budgets.entry(endpoint).or_insert(Budget {
+            available: -rate * START_S,
+            updated: now,
+        });
+        let elapsed_s = now.since(budget.updated) as f64 / 1_000.0;
+        let most = (rate * BURST_S).max(BURST_MIN);
+        budget.available = (budget.available + elapsed_s * rate).min(most);
+        budget.updated = now;
+        if budget.available >= 1.0 {
+            budget.available -= 1.0;
+            return Permit::Granted;
+        }
+        let wait_s = (1.0 - budget.available) / rate;
+        Permit::DeniedFor((wait_s * 1_000.0).ceil() as u64)
+    }
+
+    /// Whether `endpoint` has a budget or can get one.
+    fn has_room(&mut self, endpoint: u64, now: Millis) -> bool {
+        if self.budgets.len() >= BUDGETS_MAX {
+            self.budgets
+                .retain(|_, budget| now.since(budget.updated) < BUDGET_EXPIRY_MS);
+        }
+        self.budgets.contains_key(&endpoint) || self.budgets.len() < BUDGETS_MAX
+    }
+}
--- a/crates/standin/src/scripted_endpoint.rs
+++ b/crates/standin/src/scripted_endpoint.rs
@@ -85,6 +85,17 @@
     default_action: Action,
     received: Vec<ReceivedRequest>,
     draining: bool,
+    limit_per_s: Option<String>,
+}
+
+impl Inner {
+    /// Returns the header lines in which the endpoint tells of its own state.
+    fn state(&self) -> String {
+        let draining = if self.draining { DRAINING } else { "" };
+        let limit = self.limit_per_s.as_ref();
+        let limit = limit.map(|per_s| format!("server-limit: {per_s}\r\n"));
+        format!("{draining}{}", limit.unwrap_or_default())
+    }
 }
 
 /// A handle to an endpoint that runs in this process.
@@ -131,6 +142,12 @@
         self.lock().draining = true;
     }
 
+    /// Makes all further responses name this limit, in requests a second; `None` makes
+    /// them name none.
+    pub fn set_limit(&self, per_s: Option<&str>) {
+        self.lock().limit_per_s = per_s.map(str::to_owned);
+    }
+
     /// Returns the requests received so far.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.lock().received.clone()
@@ -138,14 +155,13 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream).await {
-            let (action, index, draining) = {
+            let (action, index, state) = {
                 let mut inner = self.lock();
                 let action = inner.actions.pop_front().unwrap_or(inner.default_action);
                 inner.received.push(request.clone());
-                (action, inner.received.len() - 1, inner.draining)
+                (action, inner.received.len() - 1, inner.state())
             };
-            let state = if draining { DRAINING } else { "" };
-            if !respond(&mut stream, &request, action, state).await {
+            if !respond(&mut stream, &request, action, &state).await {
                 self.lock().received[index].client_closed = action == Action::Hang;
                 return;
             }
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -59,7 +59,8 @@
                     prop_assert!(tokens <= 1_500_000 && prefixes.len() <= 16);
                 }
             }
-            None => {}
+            Some(Datagram::Limits(limits)) => prop_assert!(limits.len() <= 64),
+            Some(Datagram::LimitQuestion(_) | Datagram::LimitAnswer(_)) | None => {}
         }
     }
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -25,6 +25,7 @@
 mod placing;
 mod platform;
 mod platform_wire;
+mod request_limit;
 mod restored_log;
 mod rollout;
 mod routing;
