--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -262,7 +262,9 @@
         };
         in_flight.record_health(sample, failure.reason());
     })?;
-    endpoint_state::record(gateway, &in_flight, response.status(), response.headers());
+    let headers = response.headers();
+    let is_own = echoes_request_id(gateway, req, headers);
+    endpoint_state::record(gateway, &in_flight, is_own, response.status(), headers);
     check_answer(gateway, req, &response, &in_flight)?;
     Ok(Answer {
         response,
--- a/crates/gateway/src/endpoint_state.rs
+++ b/crates/gateway/src/endpoint_state.rs
@@ -15,9 +15,13 @@
 const PAUSE_MAX_MS: u64 = 600_000;
 
 /// Records what the head of a response says about the endpoint that sent it.
+///
+/// Only a response that `is_own`, one to this request, tells of a limit or its end: a
+/// late one to another request may be older than what is known.
 pub(crate) fn record(
     gateway: &Rc<Gateway>,
     in_flight: &InFlight,
+    is_own: bool,
     status: StatusCode,
     headers: &HeaderMap,
 ) {
@@ -25,7 +29,9 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    gateway.record_named_limit(in_flight, NamedLimit::from_headers(headers));
+    if is_own {
+        gateway.record_named_limit(in_flight, NamedLimit::from_headers(headers));
+    }
     if gateway.names.is_draining(headers) {
         record_draining(gateway, in_flight);
     }
--- a/crates/gateway/src/request_limits.rs
+++ b/crates/gateway/src/request_limits.rs
@@ -225,8 +225,9 @@
             0 => Permit::Granted,
             wait_ms => Permit::DeniedFor(wait_ms.into()),
         };
-        // The asker may have stopped waiting at this moment.
-        let _ = asker.send(permit);
+        if asker.send(permit).is_err() {
+            self.stats.count("limited_requests", "late_answer");
+        }
     }
 }
 
