--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -12,9 +12,7 @@
 use route::{HealthSample, Sampling, first_size};
 
 use crate::{
-    attempt::{
-        Answer, ExtraHeaders, Failure, InFlight, KeepAlive, answer_deadline, attempt,
-    },
+    attempt::{Answer, ExtraHeaders, Failure, InFlight, KeepAlive, attempt},
     body::ResponseBody,
     caller_request::{
         CallerRequest, Refusal, read_request, request_id, strip_connection,
