Count failures and slow answers apart; watch a version that missed its deadline

Failures and slow answers of a route are now two counts, told by the lowest bit of its key; a version that fails seldom is told from chance by many answers; one that may be worse is neither accepted nor completed; one that missed its deadline is watched for 15 s more. A status holds up to 16 counts of a rollout; a gateway of the version before, which takes 8, drops a status with more while an upgrade of the gateways overlaps with a rollout.

--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -26,8 +26,8 @@
 /// Maximum number of rollouts in one status.
 pub(crate) const ROLLOUTS_MAX: usize = 2;
 
-/// Maximum number of routes in the evidence on one rollout.
-pub(crate) const ROUTES_MAX: usize = 8;
+/// Maximum number of counts in the evidence on one rollout, two for each route.
+pub(crate) const ROUTES_MAX: usize = 16;
 
 /// Maximum number of dispatches, of sessions, and of draining endpoints in one
 /// update.
@@ -55,7 +55,7 @@
     pub rollout_digest: u64,
     /// Time since the order, ms; `None` if the start is unknown.
     pub elapsed_ms: Option<u64>,
-    /// Evidence from the sender's own requests, by digest of the route's name.
+    /// Evidence from the sender's own requests, by the key of [`route::Aspect`].
     pub evidence: Vec<(u64, Evidence)>,
     /// Whether the sender has halted the rollout, because of the evidence or of a
     /// peer's report.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -353,20 +353,18 @@
         if self.sent_count > 1 {
             return;
         }
-        let answered = matches!(sent, Ok(a) if !a.response.status().is_server_error());
         let quality = match sent {
-            Ok(_) if !answered => Quality::Bad,
+            Ok(answer) if answer.response.status().is_server_error() => Quality::Failed,
             Ok(_) => {
                 let model = self.model().unwrap_or("");
                 let baselines = &self.gateway.latency_baselines;
                 baselines.observe(self.req.route(), model, head_ms)
             }
-            Err(Failure::MayHaveRun(_)) => Quality::Bad,
+            Err(Failure::MayHaveRun(_)) => Quality::Failed,
             Err(_) => return,
         };
         let starting = endpoint.warmup_left_ms > 0;
-        let only_slow = quality == Quality::Bad && answered;
-        if !(starting && only_slow) {
+        if !(starting && quality == Quality::Slow) {
             self.gateway
                 .record_outcome(&self.req, &endpoint.version, quality);
         }
--- a/crates/gateway/src/latency.rs
+++ b/crates/gateway/src/latency.rs
@@ -42,6 +42,6 @@
         // A geometric average, which a few slow answers hardly raise.
         let ratio = (head_ms.max(1.0) / baseline.max(1.0)).ln();
         *baseline = baseline.max(1.0) * (ratio * WEIGHT).exp();
-        if slow { Quality::Bad } else { Quality::Good }
+        if slow { Quality::Slow } else { Quality::Good }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -180,7 +180,7 @@
             .record_health(HealthSample::Failure, reason);
         let endpoint = source.in_flight.pick.endpoint.clone();
         let gateway = &self.dispatch.gateway;
-        gateway.record_outcome(&self.dispatch.req, &endpoint.version, Quality::Bad);
+        gateway.record_outcome(&self.dispatch.req, &endpoint.version, Quality::Failed);
         drop(source);
         self.dispatch.log.attempt_failed(reason);
         self.dispatch.tried.push(endpoint.id);
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -5,8 +5,8 @@
 use clock::Millis;
 use log::{info, warn};
 use route::{
-    ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side, VersionFilter,
-    digest_text, is_sampled,
+    Aspect, ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side,
+    VersionFilter, digest_text, is_sampled,
 };
 use store::LogPosition;
 
@@ -88,8 +88,10 @@
 pub(crate) enum Quality {
     /// Successful and about as fast as usual.
     Good,
-    /// Failed, truncated or far slower than usual.
-    Bad,
+    /// Successful, but far slower than usual.
+    Slow,
+    /// Failed or truncated.
+    Failed,
 }
 
 impl Gateway {
@@ -236,14 +238,15 @@
             return;
         };
         let route = digest_text(&req.route().name);
-        let own = rollout.progress.local_evidence.route_mut(route);
-        let count = match (version == rollout.order.target, quality) {
-            (true, Quality::Good) => &mut own.new_good,
-            (true, Quality::Bad) => &mut own.new_bad,
-            (false, Quality::Good) => &mut own.old_good,
-            (false, Quality::Bad) => &mut own.old_bad,
-        };
-        *count += 1;
+        let is_new = version == rollout.order.target;
+        let evidence = &mut rollout.progress.local_evidence;
+        let failed = quality == Quality::Failed;
+        let failures = evidence.route_mut(Aspect::Failure.key(route));
+        failures.count(is_new, failed);
+        if !failed {
+            let slowness = evidence.route_mut(Aspect::Slowness.key(route));
+            slowness.count(is_new, quality == Quality::Slow);
+        }
     }
 
     /// Merges a peer's reports on rollouts: the age of the order, and whether
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -42,7 +42,8 @@
     RunnerOutcome, Runners, Target,
 };
 pub use service_rollout::{
-    Evidence, ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side, is_sampled,
+    Aspect, Evidence, ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side,
+    is_sampled,
 };
 pub use size::{
     FirstSize, SizeSettings, escalation_size, first_size, is_worth_escalating,
--- a/crates/route/src/service_rollout.rs
+++ b/crates/route/src/service_rollout.rs
@@ -44,6 +44,10 @@
 /// to try again. A completion cannot be undone, so it is not recorded earlier.
 const COMPLETION_LEAD_MS: u64 = 800;
 
+/// Time after the deadline for which a version that missed it is watched before its
+/// completion is recorded, ms.
+const WATCH_MS: u64 = 15_000;
+
 /// Minimum number of answers before the new version can be accepted.
 const ACCEPT_MIN_ANSWERS: u64 = 12;
 
@@ -75,16 +79,35 @@
 /// test can raise a false alarm.
 const REJECT_STD_ERRORS: f64 = 2.6;
 
-/// Amount by which the rate of bad answers of a bad version is assumed to exceed the
-/// old version's, for [`REJECT_LOG_LIKELIHOOD`].
-const ASSUMED_EXCESS: f64 = 0.08;
+/// What a bad version is assumed to be, when its answers are compared with chance.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    /// Amount by which its rate of bad answers exceeds the old version's.
+    excess: f64,
+    /// Lowest rate of bad answers that the old version is assumed to have.
+    old_rate_min: f64,
+    /// Logarithm of how much likelier its answers must be if it is bad than if it is
+    /// like the old version, for it to be rejected.
+    reject_log_likelihood: f64,
+}
+
+/// A version that fails or delays many requests.
+const OFTEN_BAD: Suspicion = Suspicion {
+    excess: 0.08,
+    old_rate_min: 0.005,
+    reject_log_likelihood: 5.0,
+};
 
-/// Lowest rate of bad answers that the old version is assumed to have.
-const OLD_RATE_MIN: f64 = 0.005;
+/// A version that fails seldom, which only many answers tell from chance.
+const SELDOM_BAD: Suspicion = Suspicion {
+    excess: 0.015,
+    old_rate_min: 0.002,
+    reject_log_likelihood: 10.0,
+};
 
-/// Logarithm of how much likelier a version's answers must be if it is worse by
-/// [`ASSUMED_EXCESS`] than if it is like the old one, for it to be rejected.
-const REJECT_LOG_LIKELIHOOD: f64 = 5.0;
+/// Logarithm of that likelihood, for [`OFTEN_BAD`], above which a version is neither
+/// accepted nor completed.
+const SUSPECT_LOG_LIKELIHOOD: f64 = 1.5;
 
 /// Limit on the requests that a version may get before the deadline of its rollout.
 ///
@@ -122,6 +145,17 @@
 }
 
 impl Evidence {
+    /// Counts an answer of the new or the old version.
+    pub fn count(&mut self, is_new: bool, is_bad: bool) {
+        let count = match (is_new, is_bad) {
+            (true, false) => &mut self.new_good,
+            (true, true) => &mut self.new_bad,
+            (false, false) => &mut self.old_good,
+            (false, true) => &mut self.old_bad,
+        };
+        *count += 1;
+    }
+
     /// Adds the counts of `other`.
     pub fn merge(&mut self, other: &Evidence) {
         self.new_good += other.new_good;
@@ -152,15 +186,15 @@
         (new - old, error)
     }
 
-    /// Returns how much likelier the new version's answers are if it is worse by
-    /// [`ASSUMED_EXCESS`] than if it is like the old version, as a logarithm.
-    fn log_likelihood_of_worse(&self) -> f64 {
+    /// Returns how much likelier the new version's answers are if it is bad in this way
+    /// than if it is like the old version, as a logarithm.
+    fn log_likelihood(&self, suspicion: Suspicion) -> f64 {
         if self.old_answers() == 0 {
             return 0.0;
         }
         let old = (self.old_bad as f64 + 0.5) / (self.old_answers() as f64 + 1.0);
-        let old = old.clamp(OLD_RATE_MIN, 0.9);
-        let worse = (old + ASSUMED_EXCESS).min(0.95);
+        let old = old.clamp(suspicion.old_rate_min, 0.9);
+        let worse = (old + suspicion.excess).min(0.95);
         self.new_bad as f64 * (worse / old).ln()
             + self.new_good as f64 * ((1.0 - worse) / (1.0 - old)).ln()
     }
@@ -178,51 +212,91 @@
     bad as f64 / (bad + good).max(1) as f64
 }
 
-/// Evidence by route, since a version may be bad on one route only.
+/// What a bad answer is in the counts of a route.
+///
+/// Failures and slow answers are counted apart: where many answers are slow at either
+/// version, a few failures of the new one would not show in a sum.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Aspect {
+    /// The answer failed; every answer is counted.
+    Failure,
+    /// The answer was slow; only successful ones are counted.
+    Slowness,
+}
+
+impl Aspect {
+    /// Returns the key under which counts of a route, given by its digest, are kept and
+    /// exchanged: the lowest bit tells the aspect.
+    pub fn key(self, route: u64) -> u64 {
+        match self {
+            Aspect::Failure => route & !1,
+            Aspect::Slowness => route | 1,
+        }
+    }
+
+    fn of_key(key: u64) -> Self {
+        match key & 1 {
+            0 => Aspect::Failure,
+            _ => Aspect::Slowness,
+        }
+    }
+}
+
+/// Evidence by route and aspect, since a version may be bad on one route only.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RouteEvidence {
     routes: BTreeMap<u64, Evidence>,
 }
 
 impl RouteEvidence {
-    /// Returns the counts of a route, given by its digest.
+    /// Returns the counts of a route, given by the key of an [`Aspect`].
     pub fn route_mut(&mut self, route: u64) -> &mut Evidence {
         self.routes.entry(route).or_default()
     }
 
-    /// Adds counts of a route, given by its digest.
+    /// Adds counts of a route, given by the key of an [`Aspect`].
     pub fn merge(&mut self, route: u64, evidence: &Evidence) {
         self.route_mut(route).merge(evidence);
     }
 
-    /// Returns up to `limit` routes with the most answers of the new version.
+    /// Returns up to `limit` counts, those with the most answers of the new version and
+    /// failures first.
     pub fn top_routes(&self, limit: usize) -> Vec<(u64, Evidence)> {
         let mut routes: Vec<_> = self.routes.iter().map(|(r, e)| (*r, *e)).collect();
-        routes.sort_by_key(|(_, evidence)| std::cmp::Reverse(evidence.new_answers()));
+        routes.sort_by_key(|(key, evidence)| {
+            (key & 1, std::cmp::Reverse(evidence.new_answers()))
+        });
         routes.truncate(limit);
         routes
     }
 
-    /// Returns the counts summed over all routes.
+    /// Returns the counts summed over all routes; an answer is bad if it failed.
     pub fn total(&self) -> Evidence {
         let mut total = Evidence::default();
-        for evidence in self.routes.values() {
+        for evidence in self.aspect(Aspect::Failure) {
             total.merge(evidence);
         }
         total
     }
 
+    fn aspect(&self, aspect: Aspect) -> impl Iterator<Item = &Evidence> {
+        let routes = self.routes.iter();
+        routes
+            .filter(move |(key, _)| Aspect::of_key(**key) == aspect)
+            .map(|(_, evidence)| evidence)
+    }
+
     /// Returns the counts summed over all routes, with the old version's answers
     /// distributed over the routes like the new version's.
     ///
     /// A route that fails often on either version would otherwise hide a difference
     /// on the others, or feign one.
-    fn comparable_total(&self) -> Evidence {
-        let compared = self.routes.values().filter(|e| e.old_answers() > 0);
-        let old_answers: u64 = compared.clone().map(Evidence::old_answers).sum();
+    fn comparable_total(&self, aspect: Aspect) -> Evidence {
+        let compared = || self.aspect(aspect).filter(|e| e.old_answers() > 0);
+        let old_answers: u64 = compared().map(Evidence::old_answers).sum();
         let mut total = Evidence::default();
         let mut old_bad = 0.0;
-        for evidence in compared {
+        for evidence in compared() {
             total.new_good += evidence.new_good;
             total.new_bad += evidence.new_bad;
             old_bad += bad_rate(evidence.old_bad, evidence.old_good)
@@ -237,17 +311,38 @@
     /// Returns whether the new version is significantly worse, overall or on
     /// any route.
     pub fn is_worse(&self) -> bool {
-        let total = self.comparable_total();
-        let routes = self.routes.values();
-        let likelihood: f64 = routes.map(Evidence::log_likelihood_of_worse).sum();
-        let likely =
-            total.new_bad >= REJECT_MIN_BAD - 1 && likelihood > REJECT_LOG_LIKELIHOOD;
-        likely || total.is_worse() || self.routes.values().any(Evidence::is_worse)
+        let aspects = [Aspect::Failure, Aspect::Slowness];
+        aspects.into_iter().any(|aspect| {
+            let total = self.comparable_total(aspect);
+            let likely = total.new_bad >= REJECT_MIN_BAD - 1
+                && self.is_rejected(aspect, OFTEN_BAD);
+            likely || total.is_worse()
+        }) || self.is_rejected(Aspect::Failure, SELDOM_BAD)
+            || self.routes.values().any(Evidence::is_worse)
+    }
+
+    fn is_rejected(&self, aspect: Aspect, suspicion: Suspicion) -> bool {
+        self.log_likelihood(aspect, suspicion) > suspicion.reject_log_likelihood
+    }
+
+    fn log_likelihood(&self, aspect: Aspect, suspicion: Suspicion) -> f64 {
+        self.aspect(aspect)
+            .map(|evidence| evidence.log_likelihood(suspicion))
+            .sum()
+    }
+
+    /// Returns whether the new version may be worse, though not significantly.
+    pub fn is_suspect(&self) -> bool {
+        let aspects = [Aspect::Failure, Aspect::Slowness];
+        aspects.into_iter().any(|aspect| {
+            self.log_likelihood(aspect, OFTEN_BAD) > SUSPECT_LOG_LIKELIHOOD
+        })
     }
 
     /// Returns whether the new version may get all traffic.
     pub fn is_acceptable(&self) -> bool {
-        let total = self.comparable_total();
+        let totals =
+            [Aspect::Failure, Aspect::Slowness].map(|a| self.comparable_total(a));
         let within = |evidence: &Evidence, margin: f64| {
             let (difference, error) = evidence.rate_difference();
             difference <= margin.max(ACCEPT_STD_ERRORS * error)
@@ -256,7 +351,8 @@
             evidence.new_answers() >= ROUTE_MIN_ANSWERS && evidence.new_bad > 1
         });
         self.total().new_answers() >= ACCEPT_MIN_ANSWERS
-            && within(&total, ACCEPT_MARGIN)
+            && !self.is_suspect()
+            && totals.iter().all(|total| within(total, ACCEPT_MARGIN))
             && routes.all(|evidence| within(evidence, ROUTE_MARGIN))
     }
 
@@ -289,6 +385,8 @@
     pub accepted: bool,
     /// Whether it did so before the deadline.
     pub accepted_in_time: bool,
+    /// Whether the new version may be worse, though not significantly.
+    pub suspect: bool,
 }
 
 /// Returns whether a session with this hash belongs to the `share` of sessions
@@ -331,6 +429,7 @@
             halted: false,
             accepted: false,
             accepted_in_time: false,
+            suspect: false,
         }
     }
 
@@ -357,6 +456,7 @@
         if all.is_worse() {
             self.halted = true;
         }
+        self.suspect = all.is_suspect();
         let (room, rest) = all.room_and_rest(limit, fraction);
         let fits = fraction >= 1.0 || rest <= room;
         let due = fraction >= MIGRATE_FROM && fits;
@@ -369,7 +469,10 @@
     /// Returns whether the completion may be recorded now.
     pub fn may_complete(&self, now: Millis) -> bool {
         let elapsed_ms = self.elapsed_ms(now).unwrap_or(0);
-        elapsed_ms + COMPLETION_LEAD_MS >= self.within_ms
+        let in_time = elapsed_ms + COMPLETION_LEAD_MS >= self.within_ms
+            && elapsed_ms <= self.within_ms;
+        let watched = elapsed_ms >= self.within_ms + WATCH_MS;
+        !self.suspect && (in_time || watched)
     }
 
     /// Returns the elapsed fraction of the rollout time, or zero if the age of
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -4,7 +4,8 @@
 use clock::Millis;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{
-    Evidence, ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side, is_slow,
+    Aspect, Evidence, ExposureLimit, RouteEvidence, Sampling, ServiceRollout, Side,
+    is_slow,
 };
 
 const WITHIN_MS: u64 = 24_000;
@@ -26,6 +27,16 @@
 /// a plain service end on the old version before the deadline.
 const FULL_BY_MS: u64 = WITHIN_MS - 1_000;
 
+/// Key of the failures on a route.
+fn failures(route: u64) -> u64 {
+    Aspect::Failure.key(route << 1)
+}
+
+/// Key of the slow answers on a route.
+fn slowness(route: u64) -> u64 {
+    Aspect::Slowness.key(route << 1)
+}
+
 /// Result of a simulated rollout.
 struct Simulation {
     /// Fraction of all requests that the new version got.
@@ -58,7 +69,9 @@
             _ => old_rate,
         };
         let bad = rng.random_bool(fails);
-        let route = upgrade.local_evidence.route_mut(rng.random_range(0..3));
+        let route = upgrade
+            .local_evidence
+            .route_mut(failures(rng.random_range(0..3)));
         match (side, bad) {
             (Side::New, true) => route.new_bad += 1,
             (Side::New, false) => route.new_good += 1,
@@ -124,13 +137,13 @@
 #[test]
 fn version_bad_on_one_route_only_is_detected() {
     let mut evidence = RouteEvidence::default();
-    *evidence.route_mut(1) = Evidence {
+    *evidence.route_mut(failures(1)) = Evidence {
         new_good: 60,
         new_bad: 0,
         old_good: 600,
         old_bad: 5,
     };
-    *evidence.route_mut(2) = Evidence {
+    *evidence.route_mut(failures(2)) = Evidence {
         new_good: 4,
         new_bad: 5,
         old_good: 90,
@@ -164,8 +177,8 @@
 #[test]
 fn share_stays_limited_for_order_of_unknown_age_or_without_peers() {
     let mut evidence = RouteEvidence::default();
-    evidence.route_mut(1).new_good = 500;
-    evidence.route_mut(1).old_good = 5_000;
+    evidence.route_mut(failures(1)).new_good = 500;
+    evidence.route_mut(failures(1)).old_good = 5_000;
     let now = Millis(23_500);
     let share = |started, peers_reachable| {
         let mut upgrade = ServiceRollout::new(started, WITHIN_MS);
@@ -202,7 +215,7 @@
             last = share;
             let sampling = Sampling::Session(rng.random());
             let side = upgrade.assign(None, sampling, share, now);
-            let own = upgrade.local_evidence.route_mut(0);
+            let own = upgrade.local_evidence.route_mut(failures(0));
             let count = match (side, rng.random_bool(0.05)) {
                 (Side::New, true) => &mut own.new_bad,
                 (Side::New, false) => &mut own.new_good,
@@ -237,7 +250,7 @@
         (0, 1, 0, 12),
     ];
     for (route, (new_good, new_bad, old_good, old_bad)) in (0..).zip(counts) {
-        *evidence.route_mut(route) = Evidence {
+        *evidence.route_mut(failures(route)) = Evidence {
             new_good,
             new_bad,
             old_good,
@@ -252,13 +265,13 @@
 #[test]
 fn failing_route_does_not_make_a_good_version_look_bad() {
     let mut evidence = RouteEvidence::default();
-    *evidence.route_mut(1) = Evidence {
+    *evidence.route_mut(failures(1)) = Evidence {
         new_good: 30,
         new_bad: 0,
         old_good: 530,
         old_bad: 2,
     };
-    *evidence.route_mut(2) = Evidence {
+    *evidence.route_mut(failures(2)) = Evidence {
         new_good: 0,
         new_bad: 8,
         old_good: 0,
@@ -298,13 +311,23 @@
     assert!(rollout.may_complete(Millis(WITHIN_MS - 500)));
 }
 
+/// Regression test: a version that missed its deadline was completed as soon as the old
+/// one was idle, a second before it failed a tenth of its requests (EXPOSURE on the
+/// large fleet). With the deadline gone, nothing is lost by watching it for longer.
+#[test]
+fn version_that_missed_its_deadline_is_watched_before_its_completion() {
+    let rollout = ServiceRollout::new(Some(Millis(0)), WITHIN_MS);
+    assert!(!rollout.may_complete(Millis(WITHIN_MS + 4_000)));
+    assert!(rollout.may_complete(Millis(WITHIN_MS + 16_000)));
+}
+
 /// All gateways agree on the rising share, so sessions do not return to the old
 /// version at a gateway that accepted the new one later.
 #[test]
 fn traffic_moves_gradually_to_a_version_that_is_accepted_after_the_deadline() {
     let mut evidence = RouteEvidence::default();
-    evidence.route_mut(1).new_good = 100;
-    evidence.route_mut(1).old_good = 5_000;
+    evidence.route_mut(failures(1)).new_good = 100;
+    evidence.route_mut(failures(1)).old_good = 5_000;
     let share = |accepted_ms, at_ms| {
         let mut rollout = ServiceRollout::new(Some(Millis(0)), WITHIN_MS);
         rollout.evaluate(&evidence, LIMIT, true, Millis(accepted_ms));
@@ -328,3 +351,54 @@
     assert!(is_slow(1_300.0, 300.0, 2_000));
     assert!(!is_slow(140.0, 15.0, 0));
 }
+
+/// Regression test: where a fifth of the old version's answers were slow, a new one that
+/// failed a tenth of its requests went unseen (EXPOSURE on the large fleet).
+#[test]
+fn slow_answers_do_not_hide_failures() {
+    let mut evidence = RouteEvidence::default();
+    *evidence.route_mut(failures(1)) = Evidence {
+        new_good: 55,
+        new_bad: 6,
+        old_good: 990,
+        old_bad: 10,
+    };
+    *evidence.route_mut(slowness(1)) = Evidence {
+        new_good: 55,
+        new_bad: 0,
+        old_good: 790,
+        old_bad: 200,
+    };
+    assert!(evidence.is_worse());
+}
+
+/// A version that may be worse is neither accepted nor completed until its answers tell.
+#[test]
+fn suspect_version_is_not_accepted() {
+    let mut evidence = RouteEvidence::default();
+    *evidence.route_mut(failures(1)) = Evidence {
+        new_good: 12,
+        new_bad: 3,
+        old_good: 300,
+        old_bad: 15,
+    };
+    assert!(evidence.is_suspect() && !evidence.is_worse());
+    assert!(!evidence.is_acceptable());
+}
+
+/// Regression test: a version that failed one or two requests in a hundred under all
+/// traffic was not told from one that never failed (EXPOSURE on kcfa-vanshare-grown).
+#[test]
+fn version_that_fails_seldom_is_halted_after_many_answers() {
+    let mut evidence = RouteEvidence::default();
+    *evidence.route_mut(failures(1)) = Evidence {
+        new_good: 590,
+        new_bad: 12,
+        old_good: 4_000,
+        old_bad: 1,
+    };
+    assert!(evidence.is_worse());
+    let few = evidence.route_mut(failures(1));
+    (few.new_good, few.new_bad) = (400, 3);
+    assert!(!evidence.is_worse());
+}
