Keep a limit in the precision in which gateways exchange it

Gateways tell each other limits in thousandths, but kept the number of an endpoint's own response: with more decimals each response differed from the notices of the peers, was logged as news and told to all of them again.

limit_with_many_decimals_is_news_only_once fails on the code before: five changes at one gateway of a limit of 8.7654321 that never changed. A first form of the test, six requests in place of 24, passed before and after, since the other gateway got no answer there.

--- a/crates/gateway/src/request_limits.rs
+++ b/crates/gateway/src/request_limits.rs
@@ -73,14 +73,18 @@
         };
         let mut pool = self.pool.borrow_mut();
         let now = self.now();
-        let changed = pool.set_limit(&endpoint.id, per_s, in_flight.started, now);
-        let Some(endpoint_digest) = pool.digest_of(&endpoint.id).filter(|_| changed)
-        else {
+        let Some(endpoint_digest) = pool.digest_of(&endpoint.id) else {
             return;
         };
+        // Kept as the peers get it, or each answer would differ from their notices.
+        let notice = LimitNotice::new(endpoint_digest, per_s);
+        let per_s = notice.per_s();
+        if !pool.set_limit(&endpoint.id, per_s, in_flight.started, now) {
+            return;
+        }
         drop(pool);
         self.log_limit(&endpoint.id, per_s, "response");
-        self.announce_limits(&[LimitNotice::new(endpoint_digest, per_s)]);
+        self.announce_limits(&[notice]);
     }
 
     fn log_limit(&self, id: &str, per_s: Option<f64>, source: &str) {
@@ -234,7 +238,8 @@
 impl LimitNotice {
     fn new(endpoint: u64, per_s: Option<f64>) -> Self {
         let per_s = per_s.map(|per_s| per_s.max(route::LIMIT_MIN_PER_S));
-        let milli_per_s = per_s.map(|per_s| (per_s * MILLIS_PER_REQUEST) as u64);
+        let milli_per_s =
+            per_s.map(|per_s| (per_s * MILLIS_PER_REQUEST).round() as u64);
         LimitNotice {
             endpoint,
             milli_per_s,
--- a/tests/request_limit.rs
+++ b/tests/request_limit.rs
@@ -112,6 +112,29 @@
         .await;
 }
 
+/// Regression test: gateways exchange limits in thousandths, so that one with more
+/// decimals was news with each answer, and told to all peers again.
+#[tokio::test]
+async fn limit_with_many_decimals_is_news_only_once() {
+    let (_platform, [limited, _other], gateways) = two_gateways().await;
+    limited.set_limit(Some("8.7654321"));
+    let started = Instant::now();
+    let mut sent = 0;
+    while limited.received().len() < 24 {
+        assert!(started.elapsed().as_secs() < 30);
+        sent += 1;
+        for gateway in &gateways {
+            send(gateway.callers, &get(&format!("t{sent}"))).await;
+        }
+        // Lines beyond the bound of the log are dropped.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for gateway in &gateways {
+        let lines = gateway.logged("event=endpoint_limited endpoint=p1");
+        assert_eq!(lines.len(), 1, "{lines:?}");
+    }
+}
+
 /// A gateway that grants for others is lost and another takes over, a gateway joins,
 /// or the fleet is cut in two: in no window does the endpoint get too many.
 #[test]
