--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -50,6 +50,9 @@
     }
 }
 
+/// The endpoint closed the connection after the request was sent.
+const CONNECTION_LOST: Failure = Failure::MayHaveRun("connection_lost");
+
 /// Headers that an attempt adds to the caller's request.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ExtraHeaders<'a> {
@@ -136,6 +139,11 @@
         heard.unwrap_or_default()
     }
 
+    /// Returns the time since the endpoint was picked, ms.
+    pub fn since_start_ms(&self) -> u64 {
+        self.gateway.now().since(self.started)
+    }
+
     /// Adds the attempt's result to the endpoint's health. `reason` is logged if the
     /// endpoint is taken out of use.
     pub fn record_health(&self, sample: HealthSample, reason: &str) {
@@ -261,6 +269,9 @@
             Failure::MayHaveRun(_) => HealthSample::Failure,
         };
         in_flight.record_health(sample, failure.reason());
+        if *failure == CONNECTION_LOST {
+            in_flight.record_cut(req, failure.reason());
+        }
     })?;
     let headers = response.headers();
     let is_own = echoes_request_id(gateway, req, headers);
@@ -348,7 +359,7 @@
     match connection.send(request).await {
         Ok(response) => Ok((response, connection)),
         Err(err) if err.is_unsent() => Err(Failure::Unsent(unsent_reason(&err))),
-        Err(_) => Err(Failure::MayHaveRun("connection_lost")),
+        Err(_) => Err(CONNECTION_LOST),
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 use catalog::Endpoint;
 use clock::Millis;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use route::{HealthSample, Sampling, first_size};
@@ -444,6 +444,11 @@
         let read = tokio::time::timeout(limit, reading).await;
         let Ok(Ok(body)) = read else {
             in_flight.record_health(HealthSample::Failure, "answer_broken");
+            if let Ok(Err(err)) = &read
+                && !err.is::<LengthLimitError>()
+            {
+                in_flight.record_cut(&self.req, "answer_broken");
+            }
             return AttemptOutcome::Failed(Failure::MayHaveRun("answer_broken"));
         };
         in_flight.record_prefill_end();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,6 +178,9 @@
         source
             .in_flight
             .record_health(HealthSample::Failure, reason);
+        if matches!(reason, "connection_lost" | "torn_event") {
+            source.in_flight.record_cut(&self.dispatch.req, reason);
+        }
         let endpoint = source.in_flight.pick.endpoint.clone();
         let gateway = &self.dispatch.gateway;
         gateway.record_outcome(&self.dispatch.req, &endpoint.version, Quality::Failed);
