Hold back requests with a prompt part on which endpoints crash

Callers saw: requests of one kind crashed endpoint after endpoint for as long as they came, and cut off everybody else's answers there.

Cause, of the class of a fault that comes with the request and not with the server: nothing remembered what a request held, so each was sent on as new (hypothesis 1). Attempts after a break made it worse by a half (hypothesis 2: 32 arrivals of 20 requests). Hypothesis 3, that endpoints fall together for another reason, is ruled out by the parts in event=request_cut: one stands in a line of each crash.

A request is now known by the parts of its prompt that others share, wherever they stand. Gateways report requests that are cut off to two of them, which hold a part responsible if it was in progress in four crashes or more and in no good answer, and if chance does not explain that. All peers and the log are told.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -107,6 +107,10 @@
         }
     }
 
+    pub fn gateway(&self) -> &Gateway {
+        &self.gateway
+    }
+
     /// Records that the endpoint has processed the prompt; only the first call has
     /// an effect.
     pub fn record_prefill_end(&mut self) {
@@ -207,6 +211,13 @@
     }
 }
 
+/// Returns whether the body of an answer tells its own end, by a length or in chunks.
+/// Another one ends with its connection, which may also mean that the endpoint crashed.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Whether an endpoint keeps its connection open after an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum KeepAlive {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -11,7 +11,7 @@
 use platform::Prompt;
 use route::{digest_text, prefix_digests};
 
-use crate::state::Gateway;
+use crate::{quarantine::components, state::Gateway};
 
 /// Maximum length of a request id, bytes.
 const ID_MAX_BYTES: usize = 128;
@@ -81,6 +81,8 @@
     /// For each part of the prompt: digest of the prompt up to and including the
     /// part, and the number of tokens in the part.
     pub parts: Vec<(u64, u32)>,
+    /// Digests of what the request holds that may crash endpoints.
+    pub components: Vec<u64>,
     pub prompt: Prompt,
     /// Whether the caller leaves the choice of the model to the gateway.
     pub any_model: bool,
@@ -168,6 +170,7 @@
             .map_or("/", |target| target.as_str())
             .to_owned(),
         parts: prefix_digests(parts),
+        components: components(&service, &prompt),
         headers: forwarded_headers(&head.headers, &names.reserved),
         body,
         route_index,
--- a/crates/gateway/src/cut.rs
+++ b/crates/gateway/src/cut.rs
@@ -23,6 +23,7 @@
             endpoint.version,
             parts_text(req),
         );
+        self.gateway().report_cut(self, req);
     }
 }
 
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -7,8 +7,9 @@
 //!
 //! Datagrams are not authenticated, so their values are bounded. They can change
 //! load predictions, set the version of a session, halt or end a rollout, make this
-//! gateway prefer other endpoints for some seconds, or make it fetch a newer
-//! configuration; they never change what a request may do.
+//! gateway prefer other endpoints for some seconds, make it fetch a newer
+//! configuration, or hold back requests for some seconds whose content no recent answer
+//! had; they never change what a request may do.
 
 use std::net::SocketAddr;
 
@@ -39,6 +40,9 @@
 /// Maximum number of limits in one datagram.
 pub(crate) const LIMITS_MAX: usize = 64;
 
+/// Maximum number of components of a request that may be held responsible for a crash.
+pub(crate) const COMPONENTS_MAX: usize = 32;
+
 /// Maximum evidence count that is accepted from one peer, so that one faulty
 /// datagram cannot outweigh all other evidence.
 pub(crate) const COUNT_MAX: u64 = 100_000;
@@ -116,6 +120,63 @@
     LimitQuestion(LimitQuestion),
     /// Answers a [`LimitQuestion`].
     LimitAnswer(LimitAnswer),
+    /// Tells of a request that its endpoint cut off.
+    Cut(CutReport),
+    /// Tells what is held back, or no longer is.
+    Quarantine(QuarantineNotice),
+    /// Tells of answers that show a suspicion to be wrong.
+    Sound(SoundNotice),
+}
+
+/// A request that its endpoint cut off, for the gateways that count crashes.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CutReport {
+    /// Digest of the service.
+    pub service: u64,
+    /// Digest of the endpoint's version.
+    pub version: u64,
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// Start time of the endpoint's incarnation, ms since the Unix epoch.
+    pub born_ms: u64,
+    /// Good answers of the sender from this service in the last
+    /// [`route::CUT_RATE_WINDOW_MS`].
+    pub answered: u32,
+    /// Digests of the request's components, without those of recent good answers.
+    pub components: Vec<u64>,
+}
+
+/// A set of components whose requests are held back.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantineNotice {
+    /// Digest of the service.
+    pub service: u64,
+    /// Digests of the components.
+    pub components: Vec<u64>,
+    /// Digest of the version on which endpoints crashed.
+    pub version: u64,
+    /// Time for which they have been held back, ms.
+    pub age_ms: u64,
+    /// Whether they still are.
+    pub state: QuarantineState,
+}
+
+/// Whether a set of components is held back.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum QuarantineState {
+    /// Requests with all of them are held back.
+    Held,
+    /// They are served again.
+    Lifted,
+}
+
+/// Components of requests that were answered well.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SoundNotice {
+    /// Digest of the service.
+    pub service: u64,
+    /// Digests of the components.
+    pub components: Vec<u64>,
 }
 
 /// The limit of an endpoint on the requests of all gateways.
@@ -287,6 +348,9 @@
         },
         Datagram::Limits(limits) => limits.len() <= LIMITS_MAX,
         Datagram::LimitQuestion(_) | Datagram::LimitAnswer(_) => true,
+        Datagram::Cut(report) => report.components.len() <= COMPONENTS_MAX,
+        Datagram::Quarantine(notice) => notice.components.len() <= COMPONENTS_MAX,
+        Datagram::Sound(notice) => notice.components.len() <= COMPONENTS_MAX,
     };
     sane.then_some(datagram)
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -12,7 +12,7 @@
 use route::{HealthSample, Sampling, first_size};
 
 use crate::{
-    attempt::{Answer, ExtraHeaders, Failure, InFlight, KeepAlive, attempt},
+    attempt::{Answer, ExtraHeaders, Failure, InFlight, KeepAlive, attempt, is_framed},
     body::ResponseBody,
     caller_request::{
         CallerRequest, Refusal, read_request, request_id, strip_connection,
@@ -388,6 +388,9 @@
             if in_flight.is_some() {
                 return in_flight;
             }
+            if self.gateway.held_until(&self.req).is_some() {
+                return None;
+            }
             let pause_end = self.earliest_pause_end()?;
             if !may_wait || !self.may_attempt() || !self.can_wait_until(pause_end) {
                 return None;
@@ -453,6 +456,10 @@
         };
         in_flight.record_prefill_end();
         Answer::release_connection(&self.gateway, &in_flight, connection, keep_alive);
+        if head.status.is_success() {
+            self.gateway
+                .record_sound(&self.req, is_framed(&head.headers));
+        }
         let failed = head.status.is_server_error();
         let sample = if failed {
             HealthSample::Failure
@@ -493,16 +500,19 @@
             in_flight,
         } = answer;
         let (mut head, body) = response.into_parts();
-        let keep_alive = KeepAlive::of(&head.headers);
+        let relay = Relay::new(self, body, connection, in_flight, &head.headers);
         strip_connection(&mut head.headers);
-        let relay = Relay::new(self, body, connection, in_flight, keep_alive);
         Response::from_parts(head, ResponseBody::stream(relay.into_stream()))
     }
 
     fn fail(self) -> Response<ResponseBody> {
         let deadline_passed = self.req.left_ms(self.gateway.now()) < ATTEMPT_MIN_MS;
-        let pause_end = self.earliest_pause_end();
+        let held_until = self.gateway.held_until(&self.req);
+        let pause_end = held_until.or_else(|| self.earliest_pause_end());
         let (status, reason) = match (self.may_have_run, deadline_passed, pause_end) {
+            (false, _, Some(_)) if held_until.is_some() => {
+                (StatusCode::SERVICE_UNAVAILABLE, "held_back")
+            }
             (false, _, Some(_)) => {
                 (StatusCode::SERVICE_UNAVAILABLE, "endpoints_paused")
             }
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -8,7 +8,7 @@
 use log::{info, warn};
 use platform::{
     Announcement, CATALOG_KEY, ENDPOINT_TOPIC, LogClient, OPERATOR_TOPIC,
-    ORDER_KEY_PREFIX, STATUS_TOPIC,
+    ORDER_KEY_PREFIX, QUARANTINE_KEY_PREFIX, STATUS_TOPIC,
 };
 use route::AnnouncedAt;
 use store::{FollowOptions, KeyedChange, KeyedEvent, LogPosition, follow_keyed};
@@ -272,6 +272,13 @@
 
 /// Applies the status that the log holds under `key`; `None` if it holds none.
 fn apply_status(gateway: &Gateway, key: &str, bytes: Option<&[u8]>) {
+    if key.starts_with(QUARANTINE_KEY_PREFIX) {
+        match bytes {
+            Some(bytes) => gateway.apply_quarantine_record(key, bytes),
+            None => gateway.lose_quarantine_record(key),
+        }
+        return;
+    }
     let Some(service) = key.strip_prefix(ORDER_KEY_PREFIX) else {
         info!("event=record_ignored topic={STATUS_TOPIC} key=\"{key}\"");
         return;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -51,6 +51,7 @@
             if is_new {
                 info!("event=peer_heard peer={from}");
                 gateway.announce_known_limits();
+                gateway.tell_quarantines(from);
             }
         }
         Some(Datagram::Update(update)) => {
@@ -101,6 +102,11 @@
             gateway.answer_limit_question(from, question, now);
         }
         Datagram::LimitAnswer(answer) => gateway.record_limit_answer(answer),
+        Datagram::Cut(report) => gateway.record_cut_report(Some(from), report, now),
+        Datagram::Quarantine(notice) => {
+            gateway.record_quarantine_notice(from, notice, now);
+        }
+        Datagram::Sound(notice) => gateway.record_sound_notice(notice, now),
         Datagram::Status(_) | Datagram::Update(_) => {}
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,8 @@
 mod load_query;
 mod peers;
 mod placement;
+mod quarantine;
+mod quarantine_log;
 mod relay;
 mod request_limits;
 mod request_log;
@@ -40,8 +42,9 @@
 };
 
 pub use datagram::{
-    Datagram, LoadAnswer, LoadQuestion, LoadReport, LogPositions, PeerStatus,
-    PeerUpdate, RolloutEnd, RolloutReport, RunEvent, decode_datagram,
+    CutReport, Datagram, LoadAnswer, LoadQuestion, LoadReport, LogPositions,
+    PeerStatus, PeerUpdate, QuarantineNotice, QuarantineState, RolloutEnd,
+    RolloutReport, RunEvent, SoundNotice, decode_datagram,
 };
 pub use event_framer::EventFramer;
 pub use idle_connections::idle_max;
@@ -125,6 +128,9 @@
     tokio::task::spawn_local(gossip::run(gateway.clone(), listeners.peer_datagrams));
     tokio::task::spawn_local(config_fetch::run(gateway.clone()));
     tokio::task::spawn_local(rollout_recorder::run(gateway.clone()));
+    tokio::task::spawn_local(quarantine::evaluate(gateway.clone()));
+    tokio::task::spawn_local(quarantine::refresh(gateway.clone()));
+    tokio::task::spawn_local(quarantine_log::run(gateway.clone()));
     tokio::task::spawn_local(check_settings(file, reload_signals));
     stop.await;
     gateway.start_draining();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -266,18 +266,38 @@
     /// Returns the gateway that tracks an endpoint, given by the digest of its id;
     /// `None` if it is this one. Gateways that hear the same peers agree on it.
     pub fn tracker(&self, endpoint_digest: u64, now: Millis) -> Option<SocketAddr> {
-        let own = self
-            .own
-            .map(|address| (weight(address, endpoint_digest), None));
-        let peers = self.fresh_statuses(now).map(|(address, _)| address);
-        let peers = peers.map(|peer| (weight(peer, endpoint_digest), Some(peer)));
-        let chosen = own
-            .into_iter()
-            .chain(peers)
-            .max_by_key(|(weight, _)| *weight);
+        let weighted = self.weighted(endpoint_digest, now);
+        let chosen = weighted.max_by_key(|(weight, _)| *weight);
         chosen.and_then(|(_, tracker)| tracker)
     }
 
+    /// Returns the first `count` gateways in the order in which they would track `key`,
+    /// fewer if not as many are heard; `None` stands for this one.
+    pub fn trackers(
+        &self,
+        key: u64,
+        count: usize,
+        now: Millis,
+    ) -> Vec<Option<SocketAddr>> {
+        let mut weighted: Vec<_> = self.weighted(key, now).collect();
+        weighted.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let gateways = weighted.into_iter().map(|(_, gateway)| gateway);
+        gateways.take(count).collect()
+    }
+
+    /// Returns this gateway, as `None`, and all that were heard recently, with their
+    /// weights for `key`.
+    fn weighted(
+        &self,
+        key: u64,
+        now: Millis,
+    ) -> impl Iterator<Item = (u64, Option<SocketAddr>)> {
+        let own = self.own.map(|address| (weight(address, key), None));
+        let peers = self.fresh_statuses(now).map(|(address, _)| address);
+        let peers = peers.map(move |peer| (weight(peer, key), Some(peer)));
+        own.into_iter().chain(peers)
+    }
+
     /// Returns the addresses of all known peers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.peers.keys().copied().collect()
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::{
     attempt::{Answer, InFlight, answer_deadline},
     dispatch::{Dispatch, id_str},
+    quarantine::Hold,
 };
 
 /// Maximum number of endpoints that are picked for an attempt because those before
@@ -17,8 +18,13 @@
 const LIMITED_PICKS_MAX: usize = 4;
 
 impl Dispatch {
-    /// Picks an endpoint; a resumed stream requires one of `version`.
+    /// Picks an endpoint, unless the request is held back; a resumed stream requires one
+    /// of `version`.
     pub async fn pick_endpoint(&self, version: Option<&str>) -> Option<InFlight> {
+        if let Hold::HeldUntil(review_at) = self.gateway.check_hold(&self.req) {
+            self.log.held_back(review_at);
+            return None;
+        }
         let versions = match version {
             Some(version) => VersionFilter::Only(version),
             None => self.assignment.versions(),
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,627 @@
+//! Holds back requests that have a component on which endpoints crash.
+//!
+//! Each gateway reports the requests that endpoints cut off to the two gateways that
+//! count the crashes of the service. These decide what is held back, tell all others
+//! and record it in the log, from which a gateway that starts reads it. A gateway that
+//! had a good answer to such a request objects. See `docs/design/deployment.md`.
+
+use std::{
+    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration,
+};
+
+use clock::{Clock, Millis};
+use log::{info, warn};
+use platform::QuarantineRecord;
+use route::{
+    ComponentSet, CrashLedger, CutRequest, Grounds, Quarantine, Quarantines,
+    RecentCount, SoundComponents, digest_pair, digest_text,
+};
+use tokio::sync::Notify;
+
+use crate::{
+    attempt::InFlight,
+    caller_request::CallerRequest,
+    datagram::{
+        COMPONENTS_MAX, CutReport, Datagram, QuarantineNotice, QuarantineState,
+        SoundNotice,
+    },
+    state::Gateway,
+};
+
+/// Number of gateways that count the crashes of a service, so that one of them may fail.
+const COUNTERS: usize = 2;
+
+/// Time in which reports on one crash are collected before they are evaluated, ms.
+const COLLECT_MS: u64 = 20;
+
+/// Maximum number of services whose crashes are counted here, since reports are not
+/// authenticated.
+const LEDGERS_MAX: usize = 64;
+
+/// Interval of checks for what has expired, and of notices on what the log does not
+/// hold yet, ms.
+const TICK_MS: u64 = 5_000;
+
+/// State of the exchange on crashes.
+#[derive(Debug, Default)]
+pub(crate) struct QuarantineExchange {
+    pub sets: RefCell<Quarantines>,
+    /// Crashes by the digest of the service, as far as this gateway counts them.
+    ledgers: RefCell<HashMap<u64, CrashLedger>>,
+    /// Components of the good answers of this gateway.
+    sound: RefCell<SoundComponents>,
+    /// Number of good answers of this gateway, by the digest of the service.
+    answered: RefCell<HashMap<u64, RecentCount>>,
+    /// Records to append to the log beyond those of the sets.
+    pub lifted: RefCell<Vec<QuarantineRecord>>,
+    /// Notified when crashes were reported that have not been evaluated.
+    reported: Notify,
+    /// Notified when something is to be recorded in the log.
+    pub record_pending: Notify,
+}
+
+/// Whether a request may be sent to an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Hold {
+    /// It may.
+    Free,
+    /// Endpoints are assumed to crash on it; tried again at this time.
+    HeldUntil(Millis),
+}
+
+/// Returns the digests of what is known of a request and may be the cause of crashes:
+/// the parts of its prompt that other requests share.
+pub(crate) fn components(service: &str, prompt: &platform::Prompt) -> Vec<u64> {
+    let service = digest_text(service);
+    let parts = prompt.shared_parts().iter().take(COMPONENTS_MAX);
+    parts.map(|part| digest_pair(service, part.id)).collect()
+}
+
+impl Gateway {
+    /// Reports a request that its endpoint cut off to the gateways that count crashes.
+    pub fn report_cut(&self, in_flight: &InFlight, req: &CallerRequest) {
+        if req.components.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let endpoint = &in_flight.pick.endpoint;
+        let service = digest_text(&endpoint.service);
+        let answered = {
+            let answered = self.quarantine.answered.borrow();
+            answered.get(&service).map_or(0, |count| count.total(now))
+        };
+        let components = {
+            let sound = self.quarantine.sound.borrow();
+            let unproven = req.components.iter().filter(|c| !sound.contains(c, now));
+            unproven.copied().collect()
+        };
+        let report = CutReport {
+            service,
+            version: digest_text(&endpoint.version),
+            endpoint: digest_text(&endpoint.id),
+            born_ms: endpoint.born_ms,
+            answered,
+            components,
+        };
+        self.stats.count("request_cut", &endpoint.service);
+        self.tell_counters(service, &Datagram::Cut(report.clone()), now);
+        if self.is_counter(service, now) {
+            self.record_cut_report(None, &report, now);
+        }
+    }
+
+    /// Sends a datagram to the other gateways that count the crashes of a service.
+    fn tell_counters(&self, service: u64, datagram: &Datagram, now: Millis) {
+        let counters = self.peers.borrow().trackers(service, COUNTERS, now);
+        for counter in counters.into_iter().flatten() {
+            self.send_now(counter, datagram);
+        }
+    }
+
+    /// Whether this gateway counts the crashes of a service.
+    fn is_counter(&self, service: u64, now: Millis) -> bool {
+        let peers = self.peers.borrow();
+        peers.trackers(service, COUNTERS, now).contains(&None)
+    }
+
+    /// Records a report of `from`; `None` stands for this gateway.
+    pub fn record_cut_report(
+        &self,
+        from: Option<SocketAddr>,
+        report: &CutReport,
+        now: Millis,
+    ) {
+        let components: ComponentSet = report.components.iter().copied().collect();
+        let held = {
+            let mut sets = self.quarantine.sets.borrow_mut();
+            let held = sets
+                .find(|component| components.contains(component))
+                .cloned();
+            if let Some(held) = &held {
+                sets.record_crash(&held.components, report.version);
+            }
+            held
+        };
+        // The sender has not heard of it.
+        if let (Some(held), Some(from)) = (held, from) {
+            self.send_now(from, &Datagram::Quarantine(self.notice(&held)));
+        }
+        let mut ledgers = self.quarantine.ledgers.borrow_mut();
+        if ledgers.len() >= LEDGERS_MAX && !ledgers.contains_key(&report.service) {
+            self.stats.count("request_cut", "not_counted");
+            return;
+        }
+        let reporter = from.map_or(0, |from| digest_text(&from.to_string()));
+        let cut = CutRequest {
+            version: report.version,
+            endpoint: report.endpoint,
+            born_ms: report.born_ms,
+            components,
+        };
+        let ledger = ledgers.entry(report.service).or_default();
+        ledger.record_cut(reporter, report.answered, cut, now);
+        self.quarantine.reported.notify_one();
+    }
+
+    /// Records that a request was answered well. `is_framed` is whether the answer told
+    /// its own end; one that ended with its connection proves nothing.
+    pub fn record_sound(&self, req: &CallerRequest, is_framed: bool) {
+        let now = self.now();
+        let service = digest_text(&req.service);
+        let mut answered = self.quarantine.answered.borrow_mut();
+        answered.entry(service).or_default().add(now);
+        drop(answered);
+        if !is_framed || req.components.is_empty() {
+            return;
+        }
+        let mut sound = self.quarantine.sound.borrow_mut();
+        sound.record(&req.components, now);
+        drop(sound);
+        if let Some(ledger) = self.quarantine.ledgers.borrow_mut().get_mut(&service) {
+            for component in &req.components {
+                ledger.record_sound(*component, now);
+            }
+        }
+        let is_held = {
+            let sets = self.quarantine.sets.borrow();
+            let held = |set: &Quarantine| {
+                req.components.iter().any(|c| set.components.contains(c))
+            };
+            sets.iter().any(held)
+        };
+        if is_held {
+            self.object(service, &req.components, now);
+        }
+    }
+
+    /// Tells the gateways that count crashes that answers with `components` were good.
+    fn object(&self, service: u64, components: &[u64], now: Millis) {
+        let notice = SoundNotice {
+            service,
+            components: components.to_vec(),
+        };
+        self.tell_counters(service, &Datagram::Sound(notice.clone()), now);
+        if self.is_counter(service, now) {
+            self.record_sound_notice(&notice, now);
+        }
+    }
+
+    /// Records that answers with the components of a notice were good.
+    pub fn record_sound_notice(&self, notice: &SoundNotice, now: Millis) {
+        if let Some(ledger) = self
+            .quarantine
+            .ledgers
+            .borrow_mut()
+            .get_mut(&notice.service)
+        {
+            for component in &notice.components {
+                ledger.record_sound(*component, now);
+            }
+        }
+        let disproved: Vec<Quarantine> = {
+            let sets = self.quarantine.sets.borrow();
+            let has = |set: &&Quarantine| {
+                notice.components.iter().any(|c| set.components.contains(c))
+            };
+            sets.iter().filter(has).cloned().collect()
+        };
+        for set in disproved {
+            self.lift(&set, "answered");
+            let notice = QuarantineNotice {
+                state: QuarantineState::Lifted,
+                ..self.notice(&set)
+            };
+            self.tell_peers(&notice);
+            let record = self.record_of(&set, true);
+            self.quarantine.lifted.borrow_mut().push(record);
+            self.quarantine.record_pending.notify_one();
+        }
+        // What remains of a set may be the cause.
+        self.quarantine.reported.notify_one();
+    }
+
+    fn lift(&self, set: &Quarantine, reason: &str) {
+        if self.quarantine.sets.borrow_mut().lift(&set.components) {
+            info!(
+                "event=quarantine_lifted service={} components={} reason={reason}",
+                self.service_name(set.service),
+                set_text(&set.components)
+            );
+        }
+    }
+
+    /// Returns whether a request may be sent to an endpoint.
+    ///
+    /// From time to time one is let through by one gateway, to see whether the cause is
+    /// gone; at once if the version that crashed is.
+    pub fn check_hold(&self, req: &CallerRequest) -> Hold {
+        let Some(set) = self.quarantine_of(req) else {
+            return Hold::Free;
+        };
+        let now = self.now();
+        let is_due =
+            set.review_at() <= now || !self.has_version(&req.service, set.version);
+        if !is_due || !self.reviews(set.service, now) {
+            return Hold::HeldUntil(set.review_at());
+        }
+        let mut sets = self.quarantine.sets.borrow_mut();
+        sets.record_review(&set.components, now);
+        sets.record_crash(&set.components, self.first_version(&req.service));
+        info!(
+            "event=quarantine_review service={} components={} request={}",
+            req.service,
+            set_text(&set.components),
+            crate::dispatch::id_str(&req.id)
+        );
+        Hold::Free
+    }
+
+    /// Returns the set for which a request is held back.
+    fn quarantine_of(&self, req: &CallerRequest) -> Option<Quarantine> {
+        let sets = self.quarantine.sets.borrow();
+        sets.find(|component| req.components.contains(component))
+            .cloned()
+    }
+
+    /// Returns when a request that is held back is tried again.
+    pub fn held_until(&self, req: &CallerRequest) -> Option<Millis> {
+        self.quarantine_of(req).map(|set| set.review_at())
+    }
+
+    /// Whether this gateway lets requests through to see whether a cause is gone.
+    fn reviews(&self, service: u64, now: Millis) -> bool {
+        self.peers.borrow().tracker(service, now).is_none()
+    }
+
+    fn has_version(&self, service: &str, version: u64) -> bool {
+        let pool = self.pool.borrow();
+        pool.versions(service)
+            .any(|known| digest_text(known) == version)
+    }
+
+    fn first_version(&self, service: &str) -> u64 {
+        let pool = self.pool.borrow();
+        pool.versions(service).next().map_or(0, digest_text)
+    }
+
+    /// Decides what to hold back, from all reports.
+    fn evaluate_crashes(&self, now: Millis) {
+        let services: Vec<u64> = {
+            let mut ledgers = self.quarantine.ledgers.borrow_mut();
+            ledgers.retain(|_, ledger| ledger.expire(now));
+            ledgers.keys().copied().collect()
+        };
+        for service in services {
+            for suspect in self.suspects(service, now) {
+                self.hold_suspect(service, suspect, now);
+            }
+        }
+    }
+
+    fn suspects(&self, service: u64, now: Millis) -> Vec<ComponentSet> {
+        let sets = self.quarantine.sets.borrow();
+        let held: Vec<&ComponentSet> = sets.iter().map(|set| &set.components).collect();
+        let mut ledgers = self.quarantine.ledgers.borrow_mut();
+        let Some(ledger) = ledgers.get_mut(&service) else {
+            return Vec::new();
+        };
+        let sound = self.quarantine.sound.borrow();
+        loop {
+            let suspects = ledger.suspects(&held, now);
+            let proven: Vec<u64> = suspects
+                .iter()
+                .flatten()
+                .copied()
+                .filter(|component| sound.contains(component, now))
+                .collect();
+            if proven.is_empty() {
+                return suspects;
+            }
+            for component in proven {
+                ledger.record_sound(component, now);
+            }
+        }
+    }
+
+    fn hold_suspect(&self, service: u64, components: ComponentSet, now: Millis) {
+        let text = set_text(&components);
+        let version = {
+            let ledgers = self.quarantine.ledgers.borrow();
+            let ledger = ledgers.get(&service);
+            ledger
+                .and_then(CrashLedger::last_version)
+                .unwrap_or_default()
+        };
+        let mut sets = self.quarantine.sets.borrow_mut();
+        let grounds = Grounds::Decided;
+        if !sets.hold(service, components.clone(), version, grounds, 0, now) {
+            self.stats.count("quarantined", "no_room");
+            return;
+        }
+        let held = sets
+            .find(|component| components.contains(component))
+            .cloned();
+        drop(sets);
+        self.stats.count("quarantined", "decided");
+        warn!(
+            "event=quarantined service={} components={text} source=crashes",
+            self.service_name(service)
+        );
+        if let Some(held) = held {
+            self.tell_peers(&self.notice(&held));
+        }
+        self.quarantine.record_pending.notify_one();
+    }
+
+    /// Records a peer's notice on a set.
+    pub fn record_quarantine_notice(
+        &self,
+        from: SocketAddr,
+        notice: &QuarantineNotice,
+        now: Millis,
+    ) {
+        let components: ComponentSet = notice.components.iter().copied().collect();
+        if notice.state == QuarantineState::Lifted {
+            let counters = self.peers.borrow().trackers(notice.service, COUNTERS, now);
+            if counters.contains(&Some(from)) {
+                self.lift_components(&components, "peer");
+            }
+            return;
+        }
+        self.hold_told(
+            notice.service,
+            components,
+            notice.version,
+            Grounds::peer(now),
+            notice.age_ms,
+        );
+    }
+
+    fn lift_components(&self, components: &ComponentSet, reason: &str) {
+        let set = {
+            let sets = self.quarantine.sets.borrow();
+            sets.iter()
+                .find(|set| set.components == *components)
+                .cloned()
+        };
+        if let Some(set) = set {
+            self.lift(&set, reason);
+        }
+    }
+
+    /// Holds back a set that a peer or the log names, unless answers of this gateway
+    /// prove all of it to be sound.
+    fn hold_told(
+        &self,
+        service: u64,
+        components: ComponentSet,
+        version: u64,
+        grounds: Grounds,
+        age_ms: u64,
+    ) {
+        let now = self.now();
+        let proven: Vec<u64> = {
+            let sound = self.quarantine.sound.borrow();
+            let proven = components.iter().filter(|c| sound.contains(c, now));
+            proven.copied().collect()
+        };
+        let all_proven = proven.len() == components.len();
+        if !proven.is_empty() {
+            self.object(service, &proven, now);
+        }
+        if all_proven {
+            return;
+        }
+        let text = set_text(&components);
+        let mut sets = self.quarantine.sets.borrow_mut();
+        if sets.hold(service, components, version, grounds, age_ms, now) {
+            let source = match grounds {
+                Grounds::Logged => "log",
+                Grounds::Decided | Grounds::Peer(_) => "peer",
+            };
+            warn!(
+                "event=quarantined service={} components={text} source={source}",
+                self.service_name(service)
+            );
+            self.stats.count("quarantined", source);
+        }
+    }
+
+    /// Applies the record that the log holds under `key`.
+    pub fn apply_quarantine_record(&self, key: &str, bytes: &[u8]) {
+        let record = match QuarantineRecord::decode(bytes) {
+            Ok(record) => record,
+            Err(err) => {
+                warn!("event=quarantine_skipped key=\"{key}\" reason=\"{err}\"");
+                return;
+            }
+        };
+        let components: ComponentSet = record.components.iter().copied().collect();
+        if record.is_lifted {
+            self.lift_components(&components, "log");
+            return;
+        }
+        let age_ms = self.clock.wall().since(Millis(record.since_ms));
+        self.hold_told(
+            record.service,
+            components,
+            record.version,
+            Grounds::Logged,
+            age_ms,
+        );
+    }
+
+    /// Records that the log no longer holds a record under `key`.
+    pub fn lose_quarantine_record(&self, key: &str) {
+        let mut sets = self.quarantine.sets.borrow_mut();
+        let lost: Vec<ComponentSet> = sets
+            .iter()
+            .filter(|set| key_of(set) == key)
+            .map(|set| set.components.clone())
+            .collect();
+        for components in lost {
+            info!("event=quarantine_record_lost key=\"{key}\"");
+            sets.set_logged(&components, false);
+            self.quarantine.record_pending.notify_one();
+        }
+    }
+
+    /// Returns the records that this gateway is to append to the log.
+    pub fn pending_quarantine_records(&self) -> Vec<QuarantineRecord> {
+        let now = self.now();
+        let sets = self.quarantine.sets.borrow();
+        let due = sets.iter().filter(|set| match set.grounds {
+            Grounds::Decided => !set.is_logged,
+            Grounds::Logged => !set.is_logged && self.is_counter(set.service, now),
+            Grounds::Peer(_) => false,
+        });
+        let held = due.map(|set| self.record_of(set, false));
+        let lifted = self.quarantine.lifted.borrow();
+        held.chain(lifted.iter().cloned()).collect()
+    }
+
+    /// Records that a record is in the log.
+    pub fn quarantine_recorded(&self, record: &QuarantineRecord) {
+        if record.is_lifted {
+            let mut lifted = self.quarantine.lifted.borrow_mut();
+            lifted.retain(|pending| pending != record);
+            return;
+        }
+        let components = record.components.iter().copied().collect();
+        let mut sets = self.quarantine.sets.borrow_mut();
+        sets.set_logged(&components, true);
+    }
+
+    /// Tells a peer that is new all that is held back.
+    pub fn tell_quarantines(&self, peer: SocketAddr) {
+        let sets = self.quarantine.sets.borrow();
+        for set in sets.iter() {
+            self.send_now(peer, &Datagram::Quarantine(self.notice(set)));
+        }
+    }
+
+    fn tell_peers(&self, notice: &QuarantineNotice) {
+        let peers = self.peers.borrow().addresses();
+        for peer in peers {
+            self.send_now(peer, &Datagram::Quarantine(notice.clone()));
+        }
+    }
+
+    fn notice(&self, set: &Quarantine) -> QuarantineNotice {
+        QuarantineNotice {
+            service: set.service,
+            components: set.components.iter().copied().collect(),
+            version: set.version,
+            age_ms: set.age_ms(self.now()),
+            state: QuarantineState::Held,
+        }
+    }
+
+    fn record_of(&self, set: &Quarantine, is_lifted: bool) -> QuarantineRecord {
+        let since = self.clock.wall().minus(set.age_ms(self.now()));
+        QuarantineRecord {
+            service: set.service,
+            components: set.components.iter().copied().collect(),
+            version: set.version,
+            since_ms: since.0,
+            is_lifted,
+        }
+    }
+
+    /// Returns the name of a service for log lines; its digest if it is not configured.
+    fn service_name(&self, service: u64) -> String {
+        let catalog = self.catalog();
+        let services = catalog.iter().flat_map(|catalog| &catalog.services);
+        let mut names = services.map(|service| &service.name);
+        let found = names.find(|name| digest_text(name) == service);
+        found.map_or_else(|| format!("{service:016x}"), String::clone)
+    }
+
+    /// Ends what has expired, passes trials of others by, and repeats what the log does
+    /// not hold.
+    fn refresh_quarantines(&self) {
+        let now = self.now();
+        let expired = self.quarantine.sets.borrow_mut().expire(now);
+        for set in expired {
+            info!(
+                "event=quarantine_lifted service={} components={} reason=unconfirmed",
+                self.service_name(set.service),
+                set_text(&set.components)
+            );
+        }
+        let sets: Vec<Quarantine> =
+            self.quarantine.sets.borrow().iter().cloned().collect();
+        for set in sets {
+            if set.review_at() <= now && !self.reviews(set.service, now) {
+                let mut sets = self.quarantine.sets.borrow_mut();
+                sets.record_review(&set.components, now);
+            }
+            if set.grounds == Grounds::Decided && !set.is_logged {
+                self.tell_peers(&self.notice(&set));
+            }
+        }
+    }
+}
+
+/// Returns the key of a set's record in the log.
+pub(crate) fn key_of(set: &Quarantine) -> String {
+    let record = QuarantineRecord {
+        service: set.service,
+        ..QuarantineRecord::default()
+    };
+    record.key(set_digest(&set.components))
+}
+
+/// Returns a digest of all components of a set.
+pub(crate) fn set_digest<'a, I>(components: I) -> u64
+where
+    I: IntoIterator<Item = &'a u64>,
+{
+    components
+        .into_iter()
+        .fold(0, |all, c| digest_pair(all, *c))
+}
+
+fn set_text(components: &ComponentSet) -> String {
+    let texts: Vec<String> = components.iter().map(|c| format!("{c:016x}")).collect();
+    texts.join(",")
+}
+
+/// Evaluates crashes shortly after they were reported.
+pub(crate) async fn evaluate(gateway: Rc<Gateway>) {
+    loop {
+        gateway.quarantine.reported.notified().await;
+        tokio::time::sleep(Duration::from_millis(COLLECT_MS)).await;
+        gateway.evaluate_crashes(gateway.now());
+    }
+}
+
+/// Refreshes what is held back, as long as there is something.
+pub(crate) async fn refresh(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        if !gateway.quarantine.sets.borrow().is_empty() {
+            gateway.refresh_quarantines();
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use link::Connection;
@@ -12,7 +12,7 @@
 use route::HealthSample;
 
 use crate::{
-    attempt::{Answer, InFlight, KeepAlive, answer_deadline},
+    attempt::{Answer, InFlight, KeepAlive, answer_deadline, is_framed},
     body::{ByteStream, StreamError},
     dispatch::Dispatch,
     event_framer::EventFramer,
@@ -41,6 +41,7 @@
     connection: Connection,
     in_flight: InFlight,
     keep_alive: KeepAlive,
+    is_framed: bool,
 }
 
 /// A stream that is being forwarded.
@@ -56,13 +57,14 @@
         body: Incoming,
         connection: Connection,
         in_flight: InFlight,
-        keep_alive: KeepAlive,
+        head: &HeaderMap,
     ) -> Self {
         let source = Source {
             body,
             connection,
             in_flight,
-            keep_alive,
+            keep_alive: KeepAlive::of(head),
+            is_framed: is_framed(head),
         };
         Relay {
             dispatch,
@@ -157,6 +159,7 @@
                 .in_flight
                 .record_health(HealthSample::Success, "answered");
             let gateway = &self.dispatch.gateway;
+            gateway.record_sound(&self.dispatch.req, source.is_framed);
             Answer::release_connection(
                 gateway,
                 &source.in_flight,
@@ -214,6 +217,7 @@
                         connection: answer.connection,
                         in_flight: answer.in_flight,
                         keep_alive: KeepAlive::of(&head.headers),
+                        is_framed: is_framed(&head.headers),
                     });
                     return true;
                 }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -80,6 +80,17 @@
         );
     }
 
+    /// Logs that the request is not sent, since endpoints are assumed to crash on it.
+    pub fn held_back(&self, review_at: Millis) {
+        let fields = self.fields.borrow();
+        let review_in_ms = review_at.since(self.gateway.now());
+        self.gateway.stats.count("held_back", &fields.service);
+        info!(
+            "event=request_held_back request={} service={} attempts={} review_in_ms={review_in_ms}",
+            fields.id, fields.service, fields.attempts
+        );
+    }
+
     /// Logs that the low-confidence answer of `endpoint` is forwarded, because no
     /// better one is available.
     pub fn fell_back(&self, endpoint: &str) {
--- a/crates/gateway/src/rollout_recorder.rs
+++ b/crates/gateway/src/rollout_recorder.rs
@@ -96,6 +96,23 @@
     due.collect()
 }
 
+/// Appends a record to the status topic, provided that this gateway has read the topic
+/// to its end.
+pub(crate) async fn append_to_status(
+    gateway: &Gateway,
+    log: &mut LogClient,
+    key: &str,
+    value: &[u8],
+) -> Result<(), StoreError> {
+    let at = gateway.status_end.get();
+    let end = log.append(STATUS_TOPIC, key, value, at).await?;
+    // The follower reads the record back as well; updating here avoids a second append.
+    if gateway.status_end.get().is_behind(end) {
+        gateway.status_end.set(end);
+    }
+    Ok(())
+}
+
 /// Appends a status; returns false unless it is known to be in the log.
 async fn append_status(
     gateway: &Gateway,
@@ -106,18 +123,13 @@
     let at = gateway.status_end.get();
     let key = platform::status_key(service);
     let value = platform::encode_status(&status);
-    let appended = log.append(STATUS_TOPIC, &key, &value, at).await;
+    let appended = append_to_status(gateway, log, &key, &value).await;
     let (state, target) = (status.state, &status.target);
     match appended {
-        Ok(end) => {
+        Ok(()) => {
             info!(
                 "event=rollout_recorded service={service} state={state} target={target} at={at}"
             );
-            // The follower reads it back as well; updating here avoids a
-            // second append.
-            if gateway.status_end.get().is_behind(end) {
-                gateway.status_end.set(end);
-            }
             gateway.record_logged_status(service, Some(status));
             true
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
     latency::LatencyBaselines,
     load_query::LoadExchange,
     peers::Peers,
+    quarantine::QuarantineExchange,
     request_limits::LimitExchange,
     rollouts::Rollout,
     stats::Stats,
@@ -62,6 +63,8 @@
     pub load: LoadExchange,
     /// Exchange on the limits that endpoints name.
     pub limits_exchange: LimitExchange,
+    /// Crashes, and the requests that are held back because of them.
+    pub quarantine: QuarantineExchange,
     pub idle_connections: RefCell<IdleConnections>,
     pub stats: Stats,
     pub peers: RefCell<Peers>,
@@ -137,6 +140,7 @@
             pool: RefCell::new(pool),
             load: LoadExchange::new(routing.prefill_tokens_per_ms),
             limits_exchange: LimitExchange::default(),
+            quarantine: QuarantineExchange::default(),
             idle_connections: RefCell::default(),
             stats: Stats::default(),
             peers: RefCell::new(peers),
--- /dev/null
+++ b/crates/route/src/crash_ledger.rs
@@ -0,0 +1,259 @@
+//! Finds what endpoints crash on, from the requests that were cut off with them.
+//!
+//! A crash cuts off every request in progress at the endpoint, and from each gateway
+//! the one that caused it looks like the others. What tells them apart is repetition:
+//! a component that causes crashes is in progress in each of them and in no answer that
+//! went well, while all others are there by chance. See `docs/design/deployment.md`.
+
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+
+use clock::Millis;
+
+/// Minimum number of crashes for which a component is held responsible.
+const CRASHES_MIN: usize = 4;
+
+/// Number of further crashes that are awaited while several components that no request
+/// has in common were in progress in the same ones.
+const UNDECIDED_CRASHES: usize = 2;
+
+/// Accepted probability that a component was in progress in that many crashes, and in
+/// no answer that went well, by chance.
+const CHANCE_MAX: f64 = 1e-6;
+
+/// Time for which a crash is remembered, ms.
+const CRASH_TTL_MS: u64 = 600_000;
+
+/// Time in which the requests that are cut off at one incarnation count as cut off by
+/// one crash, ms.
+const CRASH_SPAN_MS: u64 = 1_000;
+
+/// Time for which a component is beyond suspicion after an answer that went well, ms.
+const SOUND_MS: u64 = 30_000;
+
+/// Minimum time between crashes that count separately, ms: endpoints that fall together
+/// do so for one reason, whatever each had in progress.
+const MOMENT_MS: u64 = 100;
+
+/// Time over which the share of the requests that are cut off by chance is measured, ms.
+pub const CUT_RATE_WINDOW_MS: u64 = 30_000;
+
+/// Maximum number of crashes that are remembered.
+const CRASHES_MAX: usize = 48;
+
+/// Maximum number of requests that are remembered of one crash.
+const REQUESTS_MAX: usize = 24;
+
+/// Maximum number of components and of reporters that are remembered otherwise.
+const ENTRIES_MAX: usize = 1_024;
+
+/// Components of a request, sorted; their digests are the same at every gateway.
+pub type ComponentSet = BTreeSet<u64>;
+
+/// A request that its endpoint cut off.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CutRequest {
+    /// Digest of the endpoint's version.
+    pub version: u64,
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// Start time of the endpoint's incarnation, ms since the Unix epoch.
+    pub born_ms: u64,
+    /// Components of the request that no recent answer of the reporter had.
+    pub components: ComponentSet,
+}
+
+/// The requests that one crash cut off.
+#[derive(Clone, Debug)]
+struct Crash {
+    version: u64,
+    endpoint: u64,
+    born_ms: u64,
+    first_cut: Millis,
+    last_cut: Millis,
+    requests: Vec<ComponentSet>,
+}
+
+impl Crash {
+    fn incarnation(&self) -> (u64, u64) {
+        (self.endpoint, self.born_ms)
+    }
+
+    /// Whether any of the requests has all of `components`.
+    fn involves(&self, components: &ComponentSet) -> bool {
+        self.requests
+            .iter()
+            .any(|request| components.is_subset(request))
+    }
+}
+
+/// Crashes of one service's endpoints, as all gateways report them.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLedger {
+    crashes: VecDeque<Crash>,
+    /// When a component was last in an answer that went well.
+    sound: HashMap<u64, Millis>,
+    /// Answers that each reporter had within [`CUT_RATE_WINDOW_MS`], and when it said
+    /// so.
+    answered: HashMap<u64, (u32, Millis)>,
+}
+
+impl CrashLedger {
+    /// Records a request that was cut off. `reporter` identifies the gateway that sent
+    /// it, which had `answered` answers of this service in the last
+    /// [`CUT_RATE_WINDOW_MS`].
+    pub fn record_cut(
+        &mut self,
+        reporter: u64,
+        answered: u32,
+        cut: CutRequest,
+        now: Millis,
+    ) {
+        let known = self.answered.contains_key(&reporter);
+        if known || self.answered.len() < ENTRIES_MAX {
+            self.answered.insert(reporter, (answered, now));
+        }
+        let same = |crash: &&mut Crash| {
+            crash.incarnation() == (cut.endpoint, cut.born_ms)
+                && now.since(crash.last_cut) <= CRASH_SPAN_MS
+        };
+        if let Some(crash) = self.crashes.iter_mut().rev().find(same) {
+            crash.last_cut = now;
+            if crash.requests.len() < REQUESTS_MAX {
+                crash.requests.push(cut.components);
+            }
+            return;
+        }
+        if self.crashes.len() >= CRASHES_MAX {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(Crash {
+            version: cut.version,
+            endpoint: cut.endpoint,
+            born_ms: cut.born_ms,
+            first_cut: now,
+            last_cut: now,
+            requests: vec![cut.components],
+        });
+    }
+
+    /// Records that an answer to a request with `component` went well.
+    pub fn record_sound(&mut self, component: u64, now: Millis) {
+        if self.sound.len() >= ENTRIES_MAX {
+            self.sound.retain(|_, at| now.since(*at) < SOUND_MS);
+        }
+        if self.sound.len() < ENTRIES_MAX || self.sound.contains_key(&component) {
+            self.sound.insert(component, now);
+        }
+    }
+
+    /// Returns the digest of the version that crashed last.
+    pub fn last_version(&self) -> Option<u64> {
+        self.crashes.back().map(|crash| crash.version)
+    }
+
+    /// Forgets crashes that are too old; returns whether any is left.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        self.crashes
+            .retain(|crash| now.since(crash.last_cut) < CRASH_TTL_MS);
+        !self.crashes.is_empty()
+    }
+
+    /// Returns the sets of components to hold back, beyond those in `held`: a request
+    /// that has all components of one of them is assumed to crash its endpoint.
+    ///
+    /// A set has more than one component as long as no crash and no answer tells them
+    /// apart, so that requests with only some of them still show which one it is.
+    pub fn suspects(&self, held: &[&ComponentSet], now: Millis) -> Vec<ComponentSet> {
+        // A set of several is not known to be the cause as a whole.
+        let settled: Vec<_> = held.iter().filter(|set| set.len() == 1).collect();
+        let open: Vec<&Crash> = self
+            .crashes
+            .iter()
+            .filter(|crash| !settled.iter().any(|set| crash.involves(set)))
+            .collect();
+        let counts = self.crash_counts(&open, now);
+        let most = counts.values().copied().max().unwrap_or(0);
+        if most < CRASHES_MIN {
+            return Vec::new();
+        }
+        let in_all = |component: &u64| counts.get(component) == Some(&most);
+        let sets: BTreeSet<ComponentSet> = open
+            .iter()
+            .flat_map(|crash| &crash.requests)
+            .map(|request| request.iter().copied().filter(in_all).collect())
+            .collect();
+        let widest: Vec<ComponentSet> = sets
+            .iter()
+            .filter(|set| !sets.iter().any(|o| o != *set && set.is_subset(o)))
+            .cloned()
+            .collect();
+        let undecided =
+            share_a_crash(&widest, &open) && most < CRASHES_MIN + UNDECIDED_CRASHES;
+        // Without answers that went well, everything may crash the endpoints.
+        let Some(cut_rate) = self.cut_rate(&open, in_all, now) else {
+            return Vec::new();
+        };
+        if undecided || cut_rate.powi(most as i32) > CHANCE_MAX {
+            return Vec::new();
+        }
+        let is_new = |set: &ComponentSet| !held.iter().any(|held| held.is_subset(set));
+        widest.into_iter().filter(is_new).collect()
+    }
+
+    fn is_sound(&self, component: u64, now: Millis) -> bool {
+        let sound = self.sound.get(&component);
+        sound.is_some_and(|at| now.since(*at) < SOUND_MS)
+    }
+
+    /// Counts the crashes that involved each component that was in no recent answer that
+    /// went well: each incarnation once, and those of one moment once.
+    fn crash_counts(&self, crashes: &[&Crash], now: Millis) -> HashMap<u64, usize> {
+        let mut counted: HashMap<u64, (Millis, HashSet<(u64, u64)>)> = HashMap::new();
+        for crash in crashes {
+            let components: BTreeSet<&u64> = crash.requests.iter().flatten().collect();
+            for component in components {
+                if self.is_sound(*component, now) {
+                    continue;
+                }
+                let (last, seen) = counted.entry(*component).or_default();
+                let is_separate =
+                    seen.is_empty() || crash.first_cut >= last.plus(MOMENT_MS);
+                if is_separate && seen.insert(crash.incarnation()) {
+                    *last = crash.first_cut;
+                }
+            }
+        }
+        let counts = counted.into_iter();
+        counts
+            .map(|(component, (_, seen))| (component, seen.len()))
+            .collect()
+    }
+
+    /// Estimates which share of the requests is cut off for another reason than the
+    /// components that are `suspected`; `None` without any answer. It is high as long as
+    /// little is known.
+    fn cut_rate<F>(&self, open: &[&Crash], suspected: F, now: Millis) -> Option<f64>
+    where
+        F: Fn(&u64) -> bool,
+    {
+        let recent = |at: Millis| now.since(at) < CUT_RATE_WINDOW_MS;
+        let unexplained = open.iter().filter(|crash| {
+            recent(crash.last_cut) && !crash.requests.iter().flatten().any(&suspected)
+        });
+        let cut: usize = unexplained.map(|crash| crash.requests.len()).sum();
+        let reports = self.answered.values().filter(|(_, at)| recent(*at));
+        let answered: u64 = reports.map(|(count, _)| u64::from(*count)).sum();
+        // With one of each kind assumed before anything is known.
+        let rate = (cut as f64 + 1.0) / (cut as f64 + answered as f64 + 2.0);
+        (answered > 0).then_some(rate)
+    }
+}
+
+/// Whether two of the sets were in progress in the same crash, so that one of them may
+/// have been there by chance.
+fn share_a_crash(sets: &[ComponentSet], crashes: &[&Crash]) -> bool {
+    crashes.iter().any(|crash| {
+        let involved = sets.iter().filter(|set| crash.involves(set));
+        involved.count() > 1
+    })
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,11 +7,14 @@
 
 mod admission;
 mod cascade;
+mod crash_ledger;
 mod health;
 mod load_tracker;
 mod objective;
 mod pause;
 mod pool;
+mod quarantine;
+mod recent_count;
 mod request_limit;
 mod retry;
 mod rollout;
@@ -20,19 +23,24 @@
 mod service_rollout;
 mod size;
 mod slow;
+mod sound_components;
 mod ticket;
 mod version;
 
 pub use admission::{Admission, AdmissionError, PoolCapacity};
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
+pub use crash_ledger::{CUT_RATE_WINDOW_MS, ComponentSet, CrashLedger, CutRequest};
 pub use health::{Health, HealthSample};
 pub use load_tracker::{LoadTracker, RunKey, TrackedLoad};
 pub use objective::Weights;
 pub use pause::{WaitBounds, is_worth_waiting};
 pub use pool::{
     AnnouncedAt, Costs, DispatchNotice, DrainNotice, PeerCoverage, Pick, PickRequest,
-    Pool, TrackedLoads, VersionFilter, digest_text, prefix_digests, rendezvous_weight,
+    Pool, TrackedLoads, VersionFilter, digest_pair, digest_text, prefix_digests,
+    rendezvous_weight,
 };
+pub use quarantine::{Grounds, Quarantine, Quarantines};
+pub use recent_count::RecentCount;
 pub use request_limit::{LIMIT_MIN_PER_S, Permit, RequestBudgets};
 pub use retry::RetryBudget;
 pub use rollout::{GateDecision, GateSample, GateSettings, RolloutGate};
@@ -49,6 +57,7 @@
     FirstSize, SizeSettings, escalation_size, first_size, is_worth_escalating,
 };
 pub use slow::is_slow;
+pub use sound_components::SoundComponents;
 pub use ticket::{Ticket, TicketError, TicketKeys};
 pub use version::{
     ModelSelector, SelectionError, Session, VersionChoice, choose_version,
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -23,7 +23,7 @@
 use endpoint_stats::EndpointStats;
 pub use pick::{Costs, Pick, PickRequest, VersionFilter};
 pub use prefix::rendezvous_weight;
-pub use prefix::{digest_text, prefix_digests};
+pub use prefix::{digest_pair, digest_text, prefix_digests};
 use prefix::{mix, salted, salted_parts, shared_parts, shared_prefix};
 
 use endpoint_stats::Load;
@@ -461,6 +461,14 @@
             .collect()
     }
 
+    /// Returns the versions of the endpoints of `service`, one for each endpoint.
+    pub fn versions<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a str> {
+        let endpoints = self.endpoints.values().map(|stats| &stats.endpoint);
+        endpoints
+            .filter(move |endpoint| endpoint.service == service)
+            .map(|endpoint| endpoint.version.as_str())
+    }
+
     /// Returns the number of this gateway's requests in progress on versions of
     /// `service` other than `version`.
     pub fn running_on_other_versions(&self, service: &str, version: &str) -> u32 {
--- a/crates/route/src/pool/prefix.rs
+++ b/crates/route/src/pool/prefix.rs
@@ -32,6 +32,11 @@
         .fold(0, |digest, byte| mix(digest ^ u64::from(byte)))
 }
 
+/// Combines two digests, or a digest and an id, into one; the order matters.
+pub fn digest_pair(first: u64, second: u64) -> u64 {
+    mix(mix(first) ^ second)
+}
+
 /// Returns the prompt parts with digests salted by the model, since caches are
 /// kept apart by model.
 pub(super) fn salted_parts(request: &PickRequest<'_>) -> Vec<(u64, u32)> {
--- a/crates/standin/src/scripted_endpoint.rs
+++ b/crates/standin/src/scripted_endpoint.rs
@@ -151,7 +151,7 @@
                 let body = String::from_utf8_lossy(&request.body);
                 in_headers || request.first_line.contains(text) || body.contains(text)
             }
-            Trigger::EveryNth(n) => count % n == 0,
+            Trigger::EveryNth(n) => count.is_multiple_of(*n),
         }
     }
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -12,6 +12,7 @@
 mod claims;
 mod command_line;
 mod configuration;
+mod crash_ledger;
 mod crashing_part;
 mod endless_answer;
 mod endpoint_state;
