--- a/crates/standin/src/scripted_endpoint.rs
+++ b/crates/standin/src/scripted_endpoint.rs
@@ -136,6 +136,8 @@
     limit_per_s: Option<String>,
     crash: Option<Crash>,
     crash_count: usize,
+    /// Whether the endpoint has crashed for good.
+    is_gone: bool,
     /// Until when the endpoint serves nothing after a crash.
     down_until: Option<Instant>,
 }
@@ -205,23 +207,39 @@
         endpoint.lock().default_action = default_action;
         let served = endpoint.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                if served.is_down() {
-                    continue;
-                }
-                let served = served.clone();
-                let mut crashes = served.crashes.subscribe();
-                tokio::spawn(async move {
-                    tokio::select! {
-                        () = served.serve(stream) => {}
-                        _ = crashes.changed() => {}
+            let mut crashes = served.crashes.subscribe();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => served.accept(stream),
+                        Err(_) => return,
+                    },
+                    _ = crashes.changed() => {
+                        if served.lock().is_gone {
+                            return;
+                        }
                     }
-                });
+                }
             }
         });
         endpoint
     }
 
+    /// Serves a connection until the endpoint crashes, or closes it if it is down.
+    fn accept(&self, stream: TcpStream) {
+        if self.is_down() {
+            return;
+        }
+        let served = self.clone();
+        let mut crashes = served.crashes.subscribe();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = served.serve(stream) => {}
+                _ = crashes.changed() => {}
+            }
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -248,6 +266,13 @@
         self.lock().crash = Some(Crash { trigger, down });
     }
 
+    /// Makes the endpoint crash now, for good: it closes all connections and refuses new
+    /// ones.
+    pub fn crash_for_good(&self) {
+        self.lock().is_gone = true;
+        self.crashes.send_modify(|count| *count += 1);
+    }
+
     /// Makes the endpoint crash no more.
     pub fn stop_crashing(&self) {
         self.lock().crash = None;
--- a/tests/crashing_part.rs
+++ b/tests/crashing_part.rs
@@ -2,98 +2,40 @@
 
 use std::time::{Duration, Instant};
 
-use standin::{Action, KeyedLogFaults, ScriptedEndpoint, Trigger};
+use standin::{Action, KeyedLogFaults, Trigger};
 use tokio::task::JoinHandle;
 
-use crate::util::gateway_harness::{
-    GatewayProcess, Reply, TestPlatform, configuration, request, send,
+use crate::util::{
+    crash_fleet::{CrashFleet, DOWN, INTERVAL, SETTLED},
+    gateway_harness::{Reply, request},
 };
 
 /// Crashes after which the part counts as known.
 const CRASHES: usize = 5;
 
-/// Time after that crash in which requests with the part may still reach endpoints.
-const SETTLED: Duration = Duration::from_secs(3);
-
 /// Most requests with the part that may reach endpoints later.
 const ARRIVALS_MAX: usize = 3;
 
-/// Time for which an endpoint is away after a crash.
-const DOWN: Duration = Duration::from_millis(700);
-
-/// Time between two requests.
-const INTERVAL: Duration = Duration::from_millis(40);
-
 /// The part that crashes endpoints.
 const BAD_PART: &str = "badbad0";
 
-/// Gateways in front of engines that crash on requests with [`BAD_PART`].
-struct Fleet {
-    platform: TestPlatform,
-    endpoints: Vec<ScriptedEndpoint>,
-    gateways: Vec<GatewayProcess>,
-    sent: usize,
-}
+/// Engines that crash on requests with [`BAD_PART`].
+struct Fleet(CrashFleet);
 
 impl Fleet {
     async fn start() -> Fleet {
-        let platform = TestPlatform::start().await;
-        let mut endpoints = Vec::new();
-        for n in 0..16 {
-            let endpoint = ScriptedEndpoint::start(Action::Stream(3)).await;
-            endpoint.crash_on(Trigger::Text(BAD_PART.into()), DOWN);
-            platform.announce(&format!("e{n:02}"), "engine", &endpoint);
-            endpoints.push(endpoint);
-        }
-        let mut fleet = Fleet {
-            platform,
-            endpoints,
-            gateways: Vec::new(),
-            sent: 0,
-        };
-        fleet.start_gateways(4).await;
-        fleet
-    }
-
-    /// Replaces all gateways by new processes that hear each other.
-    async fn start_gateways(&mut self, count: usize) {
-        self.gateways.clear();
-        for _ in 0..count {
-            let addresses: Vec<String> = self
-                .gateways
-                .iter()
-                .map(|gateway| gateway.peer_address.to_string())
-                .collect();
-            let peers = match addresses.is_empty() {
-                true => String::new(),
-                false => format!("[peers]\naddresses = {}\n", addresses.join(",")),
-            };
-            let log = self.platform.log.address;
-            let gateway = GatewayProcess::start(&self.platform.dir, log, &peers);
-            self.gateways.push(gateway);
-        }
+        Fleet(CrashFleet::start("engine", Action::Stream(3), BAD_PART).await)
     }
 
-    async fn wait_ready(&self) {
-        for gateway in &self.gateways {
-            gateway.wait_ready().await;
-            gateway.wait_logged("endpoint=e15").await;
-            gateway.wait_logged("event=peer_heard").await;
-        }
-    }
-
-    /// Sends a request with `parts` before its own one, each at another gateway than
-    /// the one before.
+    /// Sends a request with `parts` before its own one.
     fn send(&mut self, parts: &str) -> JoinHandle<Reply> {
-        self.sent += 1;
-        let n = self.sent;
-        let headers = format!(
-            "x-model: *\r\nx-token-usage: 130,40\r\nx-prompt-prefix: {parts},{:x}:40\r\n",
-            0x5000 + n
-        );
-        let text = request("POST", "/draft/", &format!("r{n}"), &headers, "x");
-        let callers = self.gateways[n % self.gateways.len()].callers;
-        tokio::spawn(async move { send(callers, &text).await })
+        self.0.send(|n| {
+            let headers = format!(
+                "x-model: *\r\nx-token-usage: 130,40\r\nx-prompt-prefix: {parts},{:x}:40\r\n",
+                0x5000 + n
+            );
+            request("POST", "/draft/", &format!("r{n}"), &headers, "x")
+        })
     }
 
     fn send_bad(&mut self) -> JoinHandle<Reply> {
@@ -102,23 +44,16 @@
 
     /// Sends a sound request, of one of five subjects.
     fn send_sound(&mut self) -> JoinHandle<Reply> {
-        let subject = 0xc0 + self.sent % 5;
+        let subject = 0xc0 + self.0.sent() % 5;
         self.send(&format!("a1:60,{subject:x}:30"))
     }
 
     /// Number of requests with the part that reached endpoints.
     fn bad_arrivals(&self) -> usize {
-        let received = self.endpoints.iter().flat_map(|e| e.received());
-        received
-            .filter(|request| {
-                let parts = request.header("x-prompt-prefix");
-                parts.is_some_and(|parts| parts.contains(BAD_PART))
-            })
-            .count()
-    }
-
-    fn crashes(&self) -> usize {
-        self.endpoints.iter().map(|e| e.crash_count()).sum()
+        self.0.arrivals(|request| {
+            let parts = request.header("x-prompt-prefix");
+            parts.is_some_and(|parts| parts.contains(BAD_PART))
+        })
     }
 
     /// Sends one request with the part and three sound ones, with pauses; returns the
@@ -137,7 +72,7 @@
     /// Plays rounds until the part counts as known, and for [`SETTLED`] after that.
     async fn play_until_settled(&mut self) {
         let deadline = Instant::now() + Duration::from_secs(20);
-        while self.crashes() < CRASHES && self.bad_arrivals() < CRASHES {
+        while self.0.crashes() < CRASHES {
             assert!(Instant::now() < deadline, "no endpoint crashes");
             self.play_round().await;
         }
@@ -171,7 +106,6 @@
 #[tokio::test]
 async fn prompt_part_that_crashes_endpoints_is_held_back_at_all_gateways() {
     let mut fleet = Fleet::start().await;
-    fleet.wait_ready().await;
     fleet.play_until_settled().await;
     let (arrived, served, of) = fleet.play_known().await;
     assert!(arrived <= ARRIVALS_MAX, "{arrived} requests with the part");
@@ -181,10 +115,8 @@
 #[tokio::test]
 async fn held_back_part_stays_so_when_all_gateways_start_anew() {
     let mut fleet = Fleet::start().await;
-    fleet.wait_ready().await;
     fleet.play_until_settled().await;
-    fleet.start_gateways(4).await;
-    fleet.wait_ready().await;
+    fleet.0.restart_gateways().await;
     let (arrived, served, of) = fleet.play_known().await;
     assert!(arrived <= ARRIVALS_MAX, "{arrived} requests with the part");
     assert!(2 * served >= of, "{served} of {of} sound requests served");
@@ -194,24 +126,13 @@
 #[tokio::test]
 async fn part_is_found_again_when_all_gateways_start_anew_without_the_log() {
     let mut fleet = Fleet::start().await;
-    fleet.wait_ready().await;
     fleet.play_until_settled().await;
-    // Everything but the configuration and the endpoints is lost.
-    let log = standin::KeyedLogService::start().await;
-    log.put("keyed.op", "config", &configuration(1));
-    let endpoints = std::mem::take(&mut fleet.endpoints);
-    fleet.platform.log = log;
-    for (n, endpoint) in endpoints.iter().enumerate() {
-        let id = format!("e{n:02}");
-        fleet.platform.announce(&id, "engine", endpoint);
-    }
-    fleet.endpoints = endpoints;
-    fleet.platform.log.set_faults(KeyedLogFaults {
+    fleet.0.replace_log().await;
+    fleet.0.platform.log.set_faults(KeyedLogFaults {
         read_only: true,
         ..KeyedLogFaults::default()
     });
-    fleet.start_gateways(4).await;
-    fleet.wait_ready().await;
+    fleet.0.restart_gateways().await;
     let settled = Instant::now() + SETTLED;
     while Instant::now() < settled {
         fleet.play_round().await;
@@ -225,15 +146,14 @@
 #[tokio::test]
 async fn prompts_of_every_kind_are_served_after_endpoints_crashed_at_random() {
     let mut fleet = Fleet::start().await;
-    fleet.wait_ready().await;
-    for endpoint in &fleet.endpoints {
+    for endpoint in &fleet.0.endpoints {
         endpoint.crash_on(Trigger::EveryNth(4), DOWN);
     }
     for _ in 0..200 {
         fleet.send_sound();
         tokio::time::sleep(INTERVAL).await;
     }
-    for endpoint in &fleet.endpoints {
+    for endpoint in &fleet.0.endpoints {
         endpoint.stop_crashing();
     }
     tokio::time::sleep(2 * DOWN).await;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -14,6 +14,7 @@
 mod configuration;
 mod crash_ledger;
 mod crashing_part;
+mod crashing_request;
 mod endless_answer;
 mod endpoint_state;
 mod events;
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod crash_fleet;
 pub mod endpoints;
 pub mod gateway_harness;
 pub mod process;
