Take a request that ends its endpoint on a kept connection as one that may have run

Cause: a request that fails on a kept connection is sent anew, since an idle connection is often closed at that moment; if no new connection could be opened either, only that was recorded (connect_refused).

If the kept connection ends after the request was sent and the endpoint then accepts no new one, the request may have run (endpoint_gone), counts as an attempt, and is reported as cut off. The sending on kept and on new connections are now functions of their own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -53,6 +53,10 @@
 /// The endpoint closed the connection after the request was sent.
 const CONNECTION_LOST: Failure = Failure::MayHaveRun("connection_lost");
 
+/// The endpoint closed a kept connection after the request was sent, and accepts no new
+/// one.
+const ENDPOINT_GONE: Failure = Failure::MayHaveRun("endpoint_gone");
+
 /// Headers that an attempt adds to the caller's request.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ExtraHeaders<'a> {
@@ -275,12 +279,12 @@
     }
     let (response, connection) = sent.inspect_err(|failure| {
         let sample = match failure {
-            Failure::Unsent(_) => HealthSample::Unreachable,
+            Failure::Unsent(_) | &ENDPOINT_GONE => HealthSample::Unreachable,
             Failure::NotRun(_) => HealthSample::Full,
             Failure::MayHaveRun(_) => HealthSample::Failure,
         };
         in_flight.record_health(sample, failure.reason());
-        if *failure == CONNECTION_LOST {
+        if matches!(failure, &CONNECTION_LOST | &ENDPOINT_GONE) {
             in_flight.record_cut(req, failure.reason());
         }
     })?;
@@ -329,44 +333,98 @@
     in_flight: &InFlight,
     extra: ExtraHeaders<'_>,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
+    let kept = send_on_kept(gateway, req, in_flight, &extra).await;
+    let is_lost = matches!(kept, KeptOutcome::Lost);
+    match kept {
+        KeptOutcome::Answered(answered) => return Ok(*answered),
+        KeptOutcome::NotTried => {}
+        KeptOutcome::Stale | KeptOutcome::Lost => may_send_again(gateway, in_flight)?,
+    }
+    let sent = send_on_new(gateway, req, in_flight, &extra).await;
+    match sent {
+        // It may have been the request that ended the endpoint.
+        Err(Failure::Unsent(_)) if is_lost => Err(ENDPOINT_GONE),
+        sent => sent,
+    }
+}
+
+/// Charges the retry of a request that may have arrived on a kept connection; fails if
+/// there is none left, or the endpoint takes no request.
+fn may_send_again(gateway: &Gateway, in_flight: &InFlight) -> Result<(), Failure> {
     let endpoint = &in_flight.pick.endpoint;
+    // The endpoint may have said something else to another request meanwhile.
+    let takes_requests = {
+        let pool = gateway.pool.borrow();
+        pool.takes_requests(&endpoint.id, gateway.now())
+            && pool.limit_of(&endpoint.id).is_none()
+    };
+    if takes_requests && gateway.try_retry(&endpoint.service) {
+        Ok(())
+    } else {
+        Err(Failure::MayHaveRun("kept_link_lost"))
+    }
+}
+
+/// What became of a request on a kept connection.
+#[derive(Debug)]
+enum KeptOutcome {
+    /// The endpoint answered it.
+    Answered(Box<(Response<Incoming>, Connection)>),
+    /// There was no connection, or the request is not one to send on it.
+    NotTried,
+    /// The endpoint had closed the connection, or a late answer to an earlier request
+    /// was on it.
+    Stale,
+    /// The endpoint closed the connection after the request was sent.
+    Lost,
+}
+
+async fn send_on_kept(
+    gateway: &Gateway,
+    req: &CallerRequest,
+    in_flight: &InFlight,
+    extra: &ExtraHeaders<'_>,
+) -> KeptOutcome {
     // An at-most-once request gets a new connection: after a failure on a
     // reused one, it is unknown whether the request ran.
-    let idle = if req.retry_safety().is_retryable() {
+    if !req.retry_safety().is_retryable() {
+        return KeptOutcome::NotTried;
+    }
+    let address = in_flight.pick.endpoint.address;
+    let idle = {
         let mut connections = gateway.idle_connections.borrow_mut();
-        connections.take(endpoint.address, gateway.now())
-    } else {
-        None
+        connections.take(address, gateway.now())
     };
-    if let Some(mut connection) = idle {
-        let request = build_request(gateway, req, in_flight, &extra);
-        match connection.send(request).await {
-            Ok(response) if echoes_request_id(gateway, req, response.headers()) => {
-                return Ok((response, connection));
-            }
-            // Either a late answer to an earlier request, or the endpoint
-            // closed the idle connection. Neither is evidence about the
-            // endpoint's health, so the request is sent on a new connection.
-            Ok(_) => gateway.stats.count("kept_link", "foreign_answer"),
-            Err(err) if err.is_unsent() => gateway.stats.count("kept_link", "closed"),
-            Err(_) => gateway.stats.count("kept_link", "lost"),
-        }
-        // The endpoint may have said something else to another request meanwhile.
-        let takes_requests = {
-            let pool = gateway.pool.borrow();
-            pool.takes_requests(&endpoint.id, gateway.now())
-                && pool.limit_of(&endpoint.id).is_none()
-        };
-        // The request may have arrived, so sending it again counts as a retry.
-        if !takes_requests || !gateway.try_retry(&endpoint.service) {
-            return Err(Failure::MayHaveRun("kept_link_lost"));
+    let Some(mut connection) = idle else {
+        return KeptOutcome::NotTried;
+    };
+    let request = build_request(gateway, req, in_flight, extra);
+    let (outcome, label) = match connection.send(request).await {
+        Ok(response) if echoes_request_id(gateway, req, response.headers()) => {
+            return KeptOutcome::Answered(Box::new((response, connection)));
         }
-    }
+        // None of these is evidence about the endpoint's health, so the request is sent
+        // on a new connection.
+        Ok(_) => (KeptOutcome::Stale, "foreign_answer"),
+        Err(err) if err.is_unsent() => (KeptOutcome::Stale, "closed"),
+        Err(_) => (KeptOutcome::Lost, "lost"),
+    };
+    gateway.stats.count("kept_link", label);
+    outcome
+}
+
+async fn send_on_new(
+    gateway: &Gateway,
+    req: &CallerRequest,
+    in_flight: &InFlight,
+    extra: &ExtraHeaders<'_>,
+) -> Result<(Response<Incoming>, Connection), Failure> {
+    let endpoint = &in_flight.pick.endpoint;
     gateway.stats.count("connect", &endpoint.service);
     let mut connection = Connection::open(endpoint.address, CONNECT_TIMEOUT_MS)
         .await
         .map_err(|err| Failure::Unsent(unsent_reason(&err)))?;
-    let request = build_request(gateway, req, in_flight, &extra);
+    let request = build_request(gateway, req, in_flight, extra);
     match connection.send(request).await {
         Ok(response) => Ok((response, connection)),
         Err(err) if err.is_unsent() => Err(Failure::Unsent(unsent_reason(&err))),
