Hold back a request that crashed three endpoints as a whole

Callers of a small service saw it away for seconds at a time: one request, with the same path, caller and body, crashed each endpoint that ran it and came again at any gateway.

Digests of method, path, team and body, with and without the prompt, are components of a request. A whole request holds nothing else back, so that it is believed at a chance of one in a thousand; a service of 2 answers a second is known too little for one in a million after three crashes. A part is suspected only if it was in several requests. A request that is held back is not sent again after a kept connection broke either.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,10 +12,14 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use link::{Connection, ConnectionError};
-use route::{HealthSample, Pick, PickRequest, Pool, RunKey};
+use route::{HealthSample, Pick, PickRequest, Pool, RunKey, digest_text};
 
 use crate::{
-    caller_request::CallerRequest, datagram::RunEvent, endpoint_state, state::Gateway,
+    caller_request::CallerRequest,
+    datagram::RunEvent,
+    endpoint_state,
+    quarantine::{Components, RequestTrace},
+    state::Gateway,
 };
 
 /// Timeout for a new connection to an endpoint, ms.
@@ -50,6 +54,9 @@
     }
 }
 
+/// Reason of an attempt that is given up because the endpoint sends nothing.
+pub(crate) const SILENT: &str = "silent";
+
 /// The endpoint closed the connection after the request was sent.
 const CONNECTION_LOST: Failure = Failure::MayHaveRun("connection_lost");
 
@@ -79,10 +86,17 @@
     endpoint_digest: u64,
     /// Identifies the run at the endpoint's tracker; `None` if it is not tracked.
     run: Option<RunKey>,
+    /// See [`CallerRequest::components`].
+    components: Rc<Components>,
 }
 
 impl InFlight {
-    pub fn new(gateway: &Rc<Gateway>, pick: Pick, request: &PickRequest<'_>) -> Self {
+    pub fn new(
+        gateway: &Rc<Gateway>,
+        pick: Pick,
+        request: &PickRequest<'_>,
+        components: &Rc<Components>,
+    ) -> Self {
         let now = gateway.now();
         let id = &pick.endpoint.id;
         let mut pool = gateway.pool.borrow_mut();
@@ -108,6 +122,21 @@
             prefilling: true,
             endpoint_digest,
             run,
+            components: components.clone(),
+        }
+    }
+
+    /// Returns what the endpoint got and when its work on it ended, for reports on
+    /// crashes.
+    pub fn trace(&self, at: Millis) -> RequestTrace {
+        let endpoint = &self.pick.endpoint;
+        RequestTrace {
+            service: digest_text(&endpoint.service),
+            version: digest_text(&endpoint.version),
+            endpoint: self.endpoint_digest,
+            born_ms: endpoint.born_ms,
+            components: self.components.clone(),
+            at,
         }
     }
 
@@ -269,8 +298,8 @@
         {
             Some(sent) => sent,
             None => {
-                in_flight.record_health(HealthSample::Failure, "silent");
-                return Err(Failure::MayHaveRun("silent"));
+                in_flight.record_health(HealthSample::Failure, SILENT);
+                return Err(Failure::MayHaveRun(SILENT));
             }
         }
     };
@@ -338,7 +367,9 @@
     match kept {
         KeptOutcome::Answered(answered) => return Ok(*answered),
         KeptOutcome::NotTried => {}
-        KeptOutcome::Stale | KeptOutcome::Lost => may_send_again(gateway, in_flight)?,
+        KeptOutcome::Stale | KeptOutcome::Lost => {
+            may_send_again(gateway, req, in_flight)?
+        }
     }
     let sent = send_on_new(gateway, req, in_flight, &extra).await;
     match sent {
@@ -349,8 +380,12 @@
 }
 
 /// Charges the retry of a request that may have arrived on a kept connection; fails if
-/// there is none left, or the endpoint takes no request.
-fn may_send_again(gateway: &Gateway, in_flight: &InFlight) -> Result<(), Failure> {
+/// there is none left, the endpoint takes no request, or this one is held back.
+fn may_send_again(
+    gateway: &Gateway,
+    req: &CallerRequest,
+    in_flight: &InFlight,
+) -> Result<(), Failure> {
     let endpoint = &in_flight.pick.endpoint;
     // The endpoint may have said something else to another request meanwhile.
     let takes_requests = {
@@ -358,7 +393,8 @@
         pool.takes_requests(&endpoint.id, gateway.now())
             && pool.limit_of(&endpoint.id).is_none()
     };
-    if takes_requests && gateway.try_retry(&endpoint.service) {
+    let is_held = gateway.held_until(req).is_some();
+    if takes_requests && !is_held && gateway.try_retry(&endpoint.service) {
         Ok(())
     } else {
         Err(Failure::MayHaveRun("kept_link_lost"))
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -11,7 +11,10 @@
 use platform::Prompt;
 use route::{digest_text, prefix_digests};
 
-use crate::{quarantine::components, state::Gateway};
+use crate::{
+    quarantine::{Components, RequestContent},
+    state::Gateway,
+};
 
 /// Maximum length of a request id, bytes.
 const ID_MAX_BYTES: usize = 128;
@@ -82,7 +85,7 @@
     /// part, and the number of tokens in the part.
     pub parts: Vec<(u64, u32)>,
     /// Digests of what the request holds that may crash endpoints.
-    pub components: Vec<u64>,
+    pub components: Rc<Components>,
     pub prompt: Prompt,
     /// Whether the caller leaves the choice of the model to the gateway.
     pub any_model: bool,
@@ -161,16 +164,23 @@
         session.unwrap_or_else(|| digest_text(id.to_str().unwrap_or_default()));
     let service = route.service_for(split_key).ok_or(NO_ROUTE)?.to_owned();
     let priority = priority.unwrap_or(route.priority);
+    let target = head.uri.path_and_query();
+    let target = target.map_or("/", |target| target.as_str()).to_owned();
+    let content = RequestContent {
+        service: &service,
+        method: &head.method,
+        target: &target,
+        team: team.as_ref(),
+        body: &body,
+        prompt: &prompt,
+    };
+    let components = Rc::new(content.components());
     Ok(CallerRequest {
         id,
         method: head.method,
-        target: head
-            .uri
-            .path_and_query()
-            .map_or("/", |target| target.as_str())
-            .to_owned(),
+        target,
         parts: prefix_digests(parts),
-        components: components(&service, &prompt),
+        components,
         headers: forwarded_headers(&head.headers, &names.reserved),
         body,
         route_index,
--- a/crates/gateway/src/cut.rs
+++ b/crates/gateway/src/cut.rs
@@ -14,6 +14,7 @@
     pub fn record_cut(&self, req: &CallerRequest, reason: &str) {
         let endpoint = &self.pick.endpoint;
         let sent_ms = self.since_start_ms();
+        self.gateway().stats.count("request_cut", &endpoint.service);
         info!(
             "event=request_cut request={} service={} endpoint={} born_ms={} version={} reason={reason} parts={} sent_ms={sent_ms}",
             id_str(&req.id),
@@ -23,7 +24,7 @@
             endpoint.version,
             parts_text(req),
         );
-        self.gateway().report_cut(self, req);
+        self.gateway().report_cut(self);
     }
 }
 
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -43,6 +43,12 @@
 /// Maximum number of components of a request that may be held responsible for a crash.
 pub(crate) const COMPONENTS_MAX: usize = 32;
 
+/// Maximum number of digests of one whole request.
+pub(crate) const WHOLES_MAX: usize = 2;
+
+/// Maximum age of a cut request when it is reported, ms.
+pub(crate) const CUT_AGE_MAX_MS: u64 = 10_000;
+
 /// Maximum evidence count that is accepted from one peer, so that one faulty
 /// datagram cannot outweigh all other evidence.
 pub(crate) const COUNT_MAX: u64 = 100_000;
@@ -142,8 +148,15 @@
     /// Good answers of the sender from this service in the last
     /// [`route::CUT_RATE_WINDOW_MS`].
     pub answered: u32,
-    /// Digests of the request's components, without those of recent good answers.
-    pub components: Vec<u64>,
+    /// Time since the request was cut off or given up, ms.
+    pub age_ms: u64,
+    /// Digests of the whole request, without those of recent good answers.
+    pub wholes: Vec<u64>,
+    /// Tells the request from others, also if they are alike as a whole.
+    pub identity: u64,
+    /// Digests of the components that other requests share, without those of recent good
+    /// answers.
+    pub shared: Vec<u64>,
 }
 
 /// A set of components whose requests are held back.
@@ -348,7 +361,11 @@
         },
         Datagram::Limits(limits) => limits.len() <= LIMITS_MAX,
         Datagram::LimitQuestion(_) | Datagram::LimitAnswer(_) => true,
-        Datagram::Cut(report) => report.components.len() <= COMPONENTS_MAX,
+        Datagram::Cut(report) => {
+            report.shared.len() <= COMPONENTS_MAX
+                && report.wholes.len() <= WHOLES_MAX
+                && report.age_ms <= CUT_AGE_MAX_MS
+        }
         Datagram::Quarantine(notice) => notice.components.len() <= COMPONENTS_MAX,
         Datagram::Sound(notice) => notice.components.len() <= COMPONENTS_MAX,
     };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -37,7 +37,12 @@
                 pool.pick_tracked(&request, &loads, self.gateway.now())?
             };
             if self.gateway.may_send(&pick.endpoint.id).await {
-                return Some(InFlight::new(&self.gateway, pick, &request));
+                return Some(InFlight::new(
+                    &self.gateway,
+                    pick,
+                    &request,
+                    &self.req.components,
+                ));
             }
         }
         None
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,11 +10,12 @@
 };
 
 use clock::{Clock, Millis};
+use http::{HeaderValue, Method};
 use log::{info, warn};
-use platform::QuarantineRecord;
+use platform::{Prompt, QuarantineRecord};
 use route::{
     ComponentSet, CrashLedger, CutRequest, Grounds, Quarantine, Quarantines,
-    RecentCount, SoundComponents, digest_pair, digest_text,
+    RecentCount, SoundComponents, digest_bytes, digest_pair, digest_text,
 };
 use tokio::sync::Notify;
 
@@ -23,7 +24,7 @@
     caller_request::CallerRequest,
     datagram::{
         COMPONENTS_MAX, CutReport, Datagram, QuarantineNotice, QuarantineState,
-        SoundNotice,
+        SoundNotice, WHOLES_MAX,
     },
     state::Gateway,
 };
@@ -42,6 +43,52 @@
 /// hold yet, ms.
 const TICK_MS: u64 = 5_000;
 
+/// Maximum number of times that the crashes of a service are evaluated in a row.
+const EVALUATIONS_MAX: usize = 4;
+
+/// Digests of what is known of a request and may be the cause of crashes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Components {
+    /// The request as a whole, without the description of its prompt.
+    whole: u64,
+    /// The same with all parts of the prompt.
+    with_prompt: u64,
+    /// The parts of its prompt that other requests share.
+    shared: Vec<u64>,
+}
+
+impl Components {
+    fn wholes(&self) -> impl Iterator<Item = &u64> {
+        let with_prompt = (self.with_prompt != self.whole).then_some(&self.with_prompt);
+        std::iter::once(&self.whole).chain(with_prompt)
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &u64> {
+        self.wholes().chain(&self.shared)
+    }
+
+    fn contains(&self, component: &u64) -> bool {
+        self.iter().any(|known| known == component)
+    }
+}
+
+/// A request as it was sent to an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestTrace {
+    /// Digest of the service.
+    pub service: u64,
+    /// Digest of the endpoint's version.
+    pub version: u64,
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// Start time of the endpoint's incarnation, ms since the Unix epoch.
+    pub born_ms: u64,
+    /// What the request held.
+    pub components: Rc<Components>,
+    /// When it was cut off or given up.
+    pub at: Millis,
+}
+
 /// State of the exchange on crashes.
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineExchange {
@@ -69,41 +116,74 @@
     HeldUntil(Millis),
 }
 
-/// Returns the digests of what is known of a request and may be the cause of crashes:
-/// the parts of its prompt that other requests share.
-pub(crate) fn components(service: &str, prompt: &platform::Prompt) -> Vec<u64> {
-    let service = digest_text(service);
-    let parts = prompt.shared_parts().iter().take(COMPONENTS_MAX);
-    parts.map(|part| digest_pair(service, part.id)).collect()
+/// What a request is recognized by when it comes again, with another id.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestContent<'a> {
+    pub service: &'a str,
+    pub method: &'a Method,
+    /// Path and query.
+    pub target: &'a str,
+    /// Name of the caller's team, if it is known.
+    pub team: Option<&'a HeaderValue>,
+    pub body: &'a [u8],
+    pub prompt: &'a Prompt,
+}
+
+impl RequestContent<'_> {
+    /// Returns the digests of what may be the cause of crashes.
+    pub fn components(&self) -> Components {
+        let service = digest_text(self.service);
+        let whole = digest_pair(service, self.digest());
+        let parts = self.prompt.parts.iter();
+        let with_prompt = parts.fold(whole, |all, part| digest_pair(all, part.id));
+        let shared = self
+            .prompt
+            .shared_parts()
+            .iter()
+            .take(COMPONENTS_MAX - WHOLES_MAX);
+        Components {
+            whole,
+            with_prompt,
+            shared: shared.map(|part| digest_pair(service, part.id)).collect(),
+        }
+    }
+
+    fn digest(&self) -> u64 {
+        let team = self.team.map_or(0, |team| digest_bytes(team.as_bytes()));
+        let head = digest_text(self.method.as_str());
+        let head = digest_pair(head, digest_text(self.target));
+        digest_pair(digest_pair(head, team), digest_bytes(self.body))
+    }
 }
 
 impl Gateway {
     /// Reports a request that its endpoint cut off to the gateways that count crashes.
-    pub fn report_cut(&self, in_flight: &InFlight, req: &CallerRequest) {
-        if req.components.is_empty() {
-            return;
-        }
+    pub fn report_cut(&self, in_flight: &InFlight) {
+        self.report(&in_flight.trace(self.now()));
+    }
+
+    fn report(&self, trace: &RequestTrace) {
         let now = self.now();
-        let endpoint = &in_flight.pick.endpoint;
-        let service = digest_text(&endpoint.service);
+        let service = trace.service;
         let answered = {
             let answered = self.quarantine.answered.borrow();
             answered.get(&service).map_or(0, |count| count.total(now))
         };
-        let components = {
-            let sound = self.quarantine.sound.borrow();
-            let unproven = req.components.iter().filter(|c| !sound.contains(c, now));
-            unproven.copied().collect()
-        };
+        let sound = self.quarantine.sound.borrow();
+        let unproven = |component: &&u64| !sound.contains(component, now);
+        let components = &trace.components;
         let report = CutReport {
             service,
-            version: digest_text(&endpoint.version),
-            endpoint: digest_text(&endpoint.id),
-            born_ms: endpoint.born_ms,
+            version: trace.version,
+            endpoint: trace.endpoint,
+            born_ms: trace.born_ms,
             answered,
-            components,
+            age_ms: now.since(trace.at),
+            wholes: components.wholes().filter(unproven).copied().collect(),
+            identity: components.with_prompt,
+            shared: components.shared.iter().filter(unproven).copied().collect(),
         };
-        self.stats.count("request_cut", &endpoint.service);
+        drop(sound);
         self.tell_counters(service, &Datagram::Cut(report.clone()), now);
         if self.is_counter(service, now) {
             self.record_cut_report(None, &report, now);
@@ -131,12 +211,13 @@
         report: &CutReport,
         now: Millis,
     ) {
-        let components: ComponentSet = report.components.iter().copied().collect();
+        let shared: ComponentSet = report.shared.iter().copied().collect();
+        let wholes: ComponentSet = report.wholes.iter().copied().collect();
+        let has =
+            |component: &u64| shared.contains(component) || wholes.contains(component);
         let held = {
             let mut sets = self.quarantine.sets.borrow_mut();
-            let held = sets
-                .find(|component| components.contains(component))
-                .cloned();
+            let held = sets.find(has).cloned();
             if let Some(held) = &held {
                 sets.record_crash(&held.components, report.version);
             }
@@ -156,10 +237,12 @@
             version: report.version,
             endpoint: report.endpoint,
             born_ms: report.born_ms,
-            components,
+            wholes,
+            identity: report.identity,
+            shared,
         };
         let ledger = ledgers.entry(report.service).or_default();
-        ledger.record_cut(reporter, report.answered, cut, now);
+        ledger.record_cut(reporter, report.answered, cut, now.minus(report.age_ms));
         self.quarantine.reported.notify_one();
     }
 
@@ -171,14 +254,14 @@
         let mut answered = self.quarantine.answered.borrow_mut();
         answered.entry(service).or_default().add(now);
         drop(answered);
-        if !is_framed || req.components.is_empty() {
+        if !is_framed {
             return;
         }
         let mut sound = self.quarantine.sound.borrow_mut();
-        sound.record(&req.components, now);
+        sound.record(req.components.iter(), now);
         drop(sound);
         if let Some(ledger) = self.quarantine.ledgers.borrow_mut().get_mut(&service) {
-            for component in &req.components {
+            for component in req.components.iter() {
                 ledger.record_sound(*component, now);
             }
         }
@@ -190,7 +273,8 @@
             sets.iter().any(held)
         };
         if is_held {
-            self.object(service, &req.components, now);
+            let components: Vec<u64> = req.components.iter().copied().collect();
+            self.object(service, &components, now);
         }
     }
 
@@ -312,8 +396,13 @@
             ledgers.keys().copied().collect()
         };
         for service in services {
-            for suspect in self.suspects(service, now) {
-                self.hold_suspect(service, suspect, now);
+            let mut suspects = self.suspects(service, now);
+            // What is held back explains crashes, so that others may stand out.
+            for _ in 0..EVALUATIONS_MAX {
+                for suspect in std::mem::take(&mut suspects) {
+                    self.hold_suspect(service, suspect, now);
+                }
+                suspects = self.suspects(service, now);
             }
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use route::HealthSample;
 
 use crate::{
-    attempt::{Answer, InFlight, KeepAlive, answer_deadline, is_framed},
+    attempt::{Answer, InFlight, KeepAlive, SILENT, answer_deadline, is_framed},
     body::{ByteStream, StreamError},
     dispatch::Dispatch,
     event_framer::EventFramer,
@@ -137,7 +137,7 @@
                 // stream, waiting is the only option.
                 Err(_) if source.in_flight.last_activity() > read_at => continue,
                 Err(_) if !self.dispatch.can_fail_over(&source.in_flight) => continue,
-                Err(_) => return Step::Broken("silent"),
+                Err(_) => return Step::Broken(SILENT),
             };
             match frame {
                 Some(Ok(frame)) => {
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -23,7 +23,7 @@
 use endpoint_stats::EndpointStats;
 pub use pick::{Costs, Pick, PickRequest, VersionFilter};
 pub use prefix::rendezvous_weight;
-pub use prefix::{digest_pair, digest_text, prefix_digests};
+pub use prefix::{digest_bytes, digest_pair, digest_text, prefix_digests};
 use prefix::{mix, salted, salted_parts, shared_parts, shared_prefix};
 
 use endpoint_stats::Load;
--- a/crates/route/src/pool/prefix.rs
+++ b/crates/route/src/pool/prefix.rs
@@ -32,6 +32,16 @@
         .fold(0, |digest, byte| mix(digest ^ u64::from(byte)))
 }
 
+/// Digests bytes, eight at a time. The result is the same in every process.
+pub fn digest_bytes(bytes: &[u8]) -> u64 {
+    let (words, rest) = bytes.as_chunks::<8>();
+    let digest = words.iter().fold(bytes.len() as u64, |digest, word| {
+        mix(digest ^ u64::from_le_bytes(*word))
+    });
+    rest.iter()
+        .fold(digest, |digest, byte| mix(digest ^ u64::from(*byte)))
+}
+
 /// Combines two digests, or a digest and an id, into one; the order matters.
 pub fn digest_pair(first: u64, second: u64) -> u64 {
     mix(mix(first) ^ second)
--- a/crates/route/src/sound_components.rs
+++ b/crates/route/src/sound_components.rs
@@ -22,7 +22,10 @@
 
 impl SoundComponents {
     /// Records components of a request whose answer went well.
-    pub fn record(&mut self, components: &[u64], now: Millis) {
+    pub fn record<'a, I>(&mut self, components: I, now: Millis)
+    where
+        I: IntoIterator<Item = &'a u64>,
+    {
         self.rotate(now);
         self.newer.extend(components);
     }
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -19,6 +19,13 @@
 /// Body of the request that crashes endpoints.
 const BAD_BODY: &str = "{\"badbad\":1}";
 
+/// Header of a caller that waits for 60 ms.
+const IMPATIENT: &str = "x-deadline-ms: 60\r\n";
+
+/// Time from a request to the crash of its endpoint, longer than a gateway waits for an
+/// impatient caller.
+const CRASH_DELAY: Duration = Duration::from_millis(250);
+
 async fn start_fleet() -> CrashFleet {
     CrashFleet::start("plain", Action::Answer, BAD_BODY).await
 }
@@ -98,6 +105,41 @@
     assert!(2 * served >= of, "{served} of {of} sound requests served");
 }
 
+/// Regression test: requests that were given up after 52 ms crashed their endpoints some
+/// milliseconds later, which nobody counted.
+#[tokio::test]
+async fn request_that_is_given_up_before_its_endpoint_crashes_is_held_back() {
+    let mut fleet = start_fleet().await;
+    for endpoint in &fleet.endpoints {
+        let trigger = Trigger::Text(BAD_BODY.into());
+        endpoint.crash_later_on(trigger, CRASH_DELAY, DOWN);
+    }
+    let send_bad = |fleet: &mut CrashFleet| {
+        fleet.send(|n| request("POST", "/safe/", &format!("r{n}"), IMPATIENT, BAD_BODY))
+    };
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let mut settled = None;
+    while settled.is_none_or(|at| Instant::now() < at) {
+        assert!(Instant::now() < deadline, "no endpoint crashes");
+        if fleet.crashes() >= CRASHES && settled.is_none() {
+            settled = Some(Instant::now() + SETTLED);
+        }
+        send_bad(&mut fleet);
+        for _ in 0..3 {
+            tokio::time::sleep(INTERVAL).await;
+            send_sound(&mut fleet);
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let (before, sent) = (arrivals(&fleet), 20);
+    for _ in 0..sent {
+        send_bad(&mut fleet);
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let arrived = arrivals(&fleet) - before;
+    assert!(arrived <= ARRIVALS_MAX, "{arrived} arrivals of {sent}");
+}
+
 /// The same body at another path, or of another team, is another request.
 #[tokio::test]
 async fn other_requests_with_the_same_body_are_served() {
