Count crashes on requests that the gateway had given up

Each gateway remembers for 3 s what it gave up. Who finds an endpoint gone tells the gateways that count, these tell all, and each reports what it had given up there, with its time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends one attempt to one endpoint and waits for the head of its answer.
 
 use std::{
+    cell::Cell,
     pin::{Pin, pin},
     rc::Rc,
     time::Duration,
@@ -88,6 +89,8 @@
     run: Option<RunKey>,
     /// See [`CallerRequest::components`].
     components: Rc<Components>,
+    /// Whether it is known what became of the request at the endpoint.
+    is_settled: Cell<bool>,
 }
 
 impl InFlight {
@@ -123,6 +126,7 @@
             endpoint_digest,
             run,
             components: components.clone(),
+            is_settled: Cell::new(false),
         }
     }
 
@@ -184,6 +188,20 @@
     /// Adds the attempt's result to the endpoint's health. `reason` is logged if the
     /// endpoint is taken out of use.
     pub fn record_health(&self, sample: HealthSample, reason: &str) {
+        self.is_settled.set(true);
+        if sample == HealthSample::Unreachable {
+            self.gateway.report_crash(self);
+        }
+        self.add_health(sample, reason);
+    }
+
+    /// Like [`InFlight::record_health`] for an endpoint that has sent nothing for too
+    /// long: it may still be at work on the request, or crash under it.
+    pub fn record_silence(&self) {
+        self.add_health(HealthSample::Failure, SILENT);
+    }
+
+    fn add_health(&self, sample: HealthSample, reason: &str) {
         let now = self.gateway.now();
         let id = &self.pick.endpoint.id;
         let out_ms = self
@@ -213,6 +231,9 @@
             .pool
             .borrow_mut()
             .record_end(&self.pick.endpoint.id);
+        if !self.is_settled.get() {
+            self.gateway.remember_abandoned(self);
+        }
     }
 }
 
@@ -298,7 +319,7 @@
         {
             Some(sent) => sent,
             None => {
-                in_flight.record_health(HealthSample::Failure, SILENT);
+                in_flight.record_silence();
                 return Err(Failure::MayHaveRun(SILENT));
             }
         }
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -128,6 +128,8 @@
     LimitAnswer(LimitAnswer),
     /// Tells of a request that its endpoint cut off.
     Cut(CutReport),
+    /// Tells that an endpoint seems to have crashed.
+    Crashed(CrashNotice),
     /// Tells what is held back, or no longer is.
     Quarantine(QuarantineNotice),
     /// Tells of answers that show a suspicion to be wrong.
@@ -159,6 +161,17 @@
     pub shared: Vec<u64>,
 }
 
+/// An endpoint that seems to have crashed, for gateways that gave up requests there.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct CrashNotice {
+    /// Digest of the service.
+    pub service: u64,
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// Start time of the endpoint's incarnation, ms since the Unix epoch.
+    pub born_ms: u64,
+}
+
 /// A set of components whose requests are held back.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QuarantineNotice {
@@ -361,6 +374,7 @@
         },
         Datagram::Limits(limits) => limits.len() <= LIMITS_MAX,
         Datagram::LimitQuestion(_) | Datagram::LimitAnswer(_) => true,
+        Datagram::Crashed(_) => true,
         Datagram::Cut(report) => {
             report.shared.len() <= COMPONENTS_MAX
                 && report.wholes.len() <= WHOLES_MAX
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -103,6 +103,7 @@
         }
         Datagram::LimitAnswer(answer) => gateway.record_limit_answer(answer),
         Datagram::Cut(report) => gateway.record_cut_report(Some(from), report, now),
+        Datagram::Crashed(notice) => gateway.record_crash_notice(notice, now),
         Datagram::Quarantine(notice) => {
             gateway.record_quarantine_notice(from, notice, now);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,9 +42,9 @@
 };
 
 pub use datagram::{
-    CutReport, Datagram, LoadAnswer, LoadQuestion, LoadReport, LogPositions,
-    PeerStatus, PeerUpdate, QuarantineNotice, QuarantineState, RolloutEnd,
-    RolloutReport, RunEvent, SoundNotice, decode_datagram,
+    CrashNotice, CutReport, Datagram, LoadAnswer, LoadQuestion, LoadReport,
+    LogPositions, PeerStatus, PeerUpdate, QuarantineNotice, QuarantineState,
+    RolloutEnd, RolloutReport, RunEvent, SoundNotice, decode_datagram,
 };
 pub use event_framer::EventFramer;
 pub use idle_connections::idle_max;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,7 +6,11 @@
 //! had a good answer to such a request objects. See `docs/design/deployment.md`.
 
 use std::{
-    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration,
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
 };
 
 use clock::{Clock, Millis};
@@ -23,8 +27,8 @@
     attempt::InFlight,
     caller_request::CallerRequest,
     datagram::{
-        COMPONENTS_MAX, CutReport, Datagram, QuarantineNotice, QuarantineState,
-        SoundNotice, WHOLES_MAX,
+        COMPONENTS_MAX, CrashNotice, CutReport, Datagram, QuarantineNotice,
+        QuarantineState, SoundNotice, WHOLES_MAX,
     },
     state::Gateway,
 };
@@ -46,6 +50,15 @@
 /// Maximum number of times that the crashes of a service are evaluated in a row.
 const EVALUATIONS_MAX: usize = 4;
 
+/// Time for which a request that was given up may still crash its endpoint, ms.
+const ABANDONED_MS: u64 = 3_000;
+
+/// Maximum number of crashes that are remembered for as long.
+const CRASHED_MAX: usize = 256;
+
+/// Maximum number of requests that were given up and are remembered.
+const ABANDONED_MAX: usize = 256;
+
 /// Digests of what is known of a request and may be the cause of crashes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Components {
@@ -89,6 +102,16 @@
     pub at: Millis,
 }
 
+impl RequestTrace {
+    fn crash_notice(&self) -> CrashNotice {
+        CrashNotice {
+            service: self.service,
+            endpoint: self.endpoint,
+            born_ms: self.born_ms,
+        }
+    }
+}
+
 /// State of the exchange on crashes.
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineExchange {
@@ -99,6 +122,10 @@
     sound: RefCell<SoundComponents>,
     /// Number of good answers of this gateway, by the digest of the service.
     answered: RefCell<HashMap<u64, RecentCount>>,
+    /// Crashes that were reported, and when.
+    crashed: RefCell<HashMap<CrashNotice, Millis>>,
+    /// Requests that were given up, oldest first.
+    abandoned: RefCell<VecDeque<RequestTrace>>,
     /// Records to append to the log beyond those of the sets.
     pub lifted: RefCell<Vec<QuarantineRecord>>,
     /// Notified when crashes were reported that have not been evaluated.
@@ -160,6 +187,75 @@
     /// Reports a request that its endpoint cut off to the gateways that count crashes.
     pub fn report_cut(&self, in_flight: &InFlight) {
         self.report(&in_flight.trace(self.now()));
+        self.report_crash(in_flight);
+    }
+
+    /// Reports that an endpoint seems to have crashed, so that all gateways report the
+    /// requests that they gave up there.
+    pub fn report_crash(&self, in_flight: &InFlight) {
+        let now = self.now();
+        let notice = in_flight.trace(now).crash_notice();
+        self.report_abandoned(&notice, now);
+        if self.is_news(&notice, now) {
+            self.tell_counters(notice.service, &Datagram::Crashed(notice), now);
+            self.spread(&notice, now);
+        }
+    }
+
+    /// Records that an endpoint seems to have crashed; tells it to all peers if this
+    /// gateway counts the crashes of its service.
+    pub fn record_crash_notice(&self, notice: &CrashNotice, now: Millis) {
+        self.report_abandoned(notice, now);
+        if self.is_news(notice, now) {
+            self.spread(notice, now);
+        }
+    }
+
+    /// Whether a crash was not known yet.
+    fn is_news(&self, notice: &CrashNotice, now: Millis) -> bool {
+        let mut crashed = self.quarantine.crashed.borrow_mut();
+        crashed.retain(|_, at| now.since(*at) < ABANDONED_MS);
+        let is_news = crashed.len() < CRASHED_MAX && !crashed.contains_key(notice);
+        if is_news {
+            crashed.insert(*notice, now);
+        }
+        is_news
+    }
+
+    fn spread(&self, notice: &CrashNotice, now: Millis) {
+        if !self.is_counter(notice.service, now) {
+            return;
+        }
+        let peers = self.peers.borrow().addresses();
+        for peer in peers {
+            self.send_now(peer, &Datagram::Crashed(*notice));
+        }
+    }
+
+    /// Remembers a request that was given up while the endpoint may have been at work on
+    /// it: the endpoint may still crash.
+    pub fn remember_abandoned(&self, in_flight: &InFlight) {
+        let now = self.now();
+        let mut abandoned = self.quarantine.abandoned.borrow_mut();
+        abandoned.retain(|trace| now.since(trace.at) < ABANDONED_MS);
+        if abandoned.len() >= ABANDONED_MAX {
+            abandoned.pop_front();
+        }
+        abandoned.push_back(in_flight.trace(now));
+    }
+
+    /// Reports the requests that were given up at an endpoint, since it has crashed.
+    fn report_abandoned(&self, crashed: &CrashNotice, now: Millis) {
+        let mut abandoned = self.quarantine.abandoned.borrow_mut();
+        let (cut, others): (VecDeque<RequestTrace>, VecDeque<RequestTrace>) =
+            std::mem::take(&mut *abandoned)
+                .into_iter()
+                .partition(|trace| trace.crash_notice() == *crashed);
+        *abandoned = others;
+        drop(abandoned);
+        for trace in cut.iter().filter(|t| now.since(t.at) < ABANDONED_MS) {
+            self.report(trace);
+        }
     }
 
     fn report(&self, trace: &RequestTrace) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -185,9 +185,12 @@
         let Some(source) = self.source.take() else {
             return false;
         };
-        source
-            .in_flight
-            .record_health(HealthSample::Failure, reason);
+        match reason {
+            SILENT => source.in_flight.record_silence(),
+            _ => source
+                .in_flight
+                .record_health(HealthSample::Failure, reason),
+        }
         if matches!(
             reason,
             "connection_lost" | "torn_event" | "ended_without_event"
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -65,7 +65,9 @@
                 prop_assert!(notice.components.len() <= 32);
             }
             Some(Datagram::Sound(notice)) => prop_assert!(notice.components.len() <= 32),
-            Some(Datagram::LimitQuestion(_)
+            Some(
+                Datagram::Crashed(_)
+                | Datagram::LimitQuestion(_)
                 | Datagram::LimitAnswer(_),
             )
             | None => {}
