--- a/crates/standin/src/scripted_endpoint.rs
+++ b/crates/standin/src/scripted_endpoint.rs
@@ -148,7 +148,8 @@
     trigger: Trigger,
     /// Time from the request to the crash; its client may have left by then.
     delay: Duration,
-    down: Duration,
+    /// Time for which the endpoint is away; `None` if it does not come back.
+    down: Option<Duration>,
 }
 
 /// What makes an endpoint crash.
@@ -274,14 +275,27 @@
         self.lock().crash = Some(Crash {
             trigger,
             delay,
-            down,
+            down: Some(down),
+        });
+    }
+
+    /// Like [`ScriptedEndpoint::crash_later_on`], for good.
+    pub fn end_later_on(&self, trigger: Trigger, delay: Duration) {
+        self.lock().crash = Some(Crash {
+            trigger,
+            delay,
+            down: None,
         });
     }
 
     /// Makes the endpoint crash now, for good: it closes all connections and refuses new
     /// ones.
     pub fn crash_for_good(&self) {
-        self.lock().is_gone = true;
+        {
+            let mut inner = self.lock();
+            inner.crash_count += usize::from(!inner.is_gone);
+            inner.is_gone = true;
+        }
         self.crashes.send_modify(|count| *count += 1);
     }
 
@@ -325,7 +339,10 @@
         let crashing = self.clone();
         let crashed = tokio::spawn(async move {
             tokio::time::sleep(crash.delay).await;
-            crashing.crash_for(crash.down);
+            match crash.down {
+                Some(down) => crashing.crash_for(down),
+                None => crashing.crash_for_good(),
+            }
         });
         tokio::select! {
             _ = crashed => {}
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -140,6 +140,100 @@
     assert!(arrived <= ARRIVALS_MAX, "{arrived} arrivals of {sent}");
 }
 
+/// Regression test: three endpoints that come back under new ids after each crash, and a
+/// gateway that gives the request up before.
+#[tokio::test]
+async fn request_that_ends_a_service_of_three_is_held_back() {
+    let mut fleet = CrashFleet::start("other", Action::Answer, BAD_BODY).await;
+    let mut slots: Vec<Slot> = Vec::new();
+    for n in 0..3 {
+        slots.push(Slot::start(&fleet, n, 0).await);
+    }
+    for _ in 0..20 {
+        send_sound(&mut fleet);
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let mut settled = None;
+    let mut late = 0;
+    let mut rounds_left = 100;
+    while rounds_left > 0 {
+        assert!(Instant::now() < deadline, "no endpoint crashes");
+        let crashes: usize = slots.iter().map(Slot::crashes).sum();
+        if crashes >= CRASHES && settled.is_none() {
+            settled = Some(Instant::now() + SETTLED);
+        }
+        let before: usize = slots.iter().map(Slot::arrivals).sum();
+        send_to(&mut fleet, BAD_BODY);
+        tokio::time::sleep(INTERVAL).await;
+        send_sound(&mut fleet);
+        tokio::time::sleep(INTERVAL).await;
+        for slot in &mut slots {
+            slot.replace_after(Duration::from_secs(1), &fleet).await;
+        }
+        if settled.is_some_and(|at| Instant::now() >= at) {
+            let after: usize = slots.iter().map(Slot::arrivals).sum();
+            late += after - before;
+            rounds_left -= 1;
+        }
+    }
+    assert!(late <= ARRIVALS_MAX, "{late} arrivals");
+}
+
+/// A place in which endpoints follow each other.
+struct Slot {
+    number: usize,
+    started: usize,
+    endpoint: ScriptedEndpoint,
+    ended: Vec<ScriptedEndpoint>,
+    gone_since: Option<Instant>,
+}
+
+impl Slot {
+    async fn start(fleet: &CrashFleet, number: usize, started: usize) -> Slot {
+        let endpoint = ScriptedEndpoint::start(Action::Answer).await;
+        let trigger = Trigger::Text(BAD_BODY.into());
+        endpoint.end_later_on(trigger, CRASH_DELAY);
+        let id = format!("p{number}-{started}");
+        fleet.platform.announce(&id, "plain", &endpoint);
+        Slot {
+            number,
+            started,
+            endpoint,
+            ended: Vec::new(),
+            gone_since: None,
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        self.ended.len() + self.endpoint.crash_count()
+    }
+
+    fn arrivals(&self) -> usize {
+        let endpoints = self.ended.iter().chain([&self.endpoint]);
+        let received = endpoints.flat_map(|endpoint| endpoint.received());
+        let bad = received.filter(|request| request.body == BAD_BODY.as_bytes());
+        bad.count()
+    }
+
+    /// Starts another endpoint when the present one has been gone for `away`.
+    async fn replace_after(&mut self, away: Duration, fleet: &CrashFleet) {
+        if self.endpoint.crash_count() == 0 {
+            return;
+        }
+        let since = *self.gone_since.get_or_insert_with(Instant::now);
+        if since.elapsed() < away {
+            return;
+        }
+        let id = format!("p{}-{}", self.number, self.started);
+        fleet.platform.log.put("keyed.servers", &id, "");
+        let next = Slot::start(fleet, self.number, self.started + 1).await;
+        let ended = std::mem::replace(self, next);
+        self.ended = ended.ended;
+        self.ended.push(ended.endpoint);
+    }
+}
+
 /// The same body at another path, or of another team, is another request.
 #[tokio::test]
 async fn other_requests_with_the_same_body_are_served() {
