--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -29,6 +29,7 @@
 mod placing;
 mod platform;
 mod platform_wire;
+mod quarantine;
 mod request_limit;
 mod restored_log;
 mod rollout;
