Do not take a version as replaced while its service has no endpoint

The version counts as replaced only if the service has endpoints, all of another one.

Before: hold_outlasts_the_absence_of_all_endpoints got 200, expected 503.

--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -94,7 +94,7 @@
         };
         let now = self.now();
         let is_due =
-            set.review_at() <= now || !self.has_version(&req.service, set.version);
+            set.review_at() <= now || self.is_replaced(&req.service, set.version);
         if !is_due || !self.reviews(set.service, now) {
             return Hold::HeldUntil(set.review_at());
         }
@@ -127,10 +127,11 @@
         self.peers.borrow().tracker(service, now).is_none()
     }
 
-    fn has_version(&self, service: &str, version: u64) -> bool {
+    /// Whether all endpoints of a service have another version, of which there are some.
+    fn is_replaced(&self, service: &str, version: u64) -> bool {
         let pool = self.pool.borrow();
-        pool.versions(service)
-            .any(|known| digest_text(known) == version)
+        let mut versions = pool.versions(service).peekable();
+        versions.peek().is_some() && versions.all(|other| digest_text(other) != version)
     }
 
     fn first_version(&self, service: &str) -> u64 {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -162,6 +162,49 @@
     assert!(draft(gateway.callers, 0xa7, "r2").await.is_whole());
 }
 
+/// Regression test: while a service had no endpoint, the version that had crashed counted
+/// as replaced, and requests were let through when the endpoints came back.
+#[tokio::test]
+async fn hold_outlasts_the_absence_of_all_endpoints() {
+    let (platform, endpoint, gateway) = one_engine(Action::Stream(2)).await;
+    let record = QuarantineRecord {
+        service: digest_text("engine"),
+        components: vec![component(0xa7)],
+        version: digest_text("v1"),
+        since_ms: 1_000,
+        is_lifted: false,
+    };
+    let text = String::from_utf8(record.encode()).expect("is JSON");
+    platform.log.put("keyed.status", &record.key(9), &text);
+    gateway.wait_logged("event=quarantined").await;
+    platform.log.put("keyed.servers", "e1", "");
+    gateway.wait_logged("event=endpoint_gone").await;
+    assert_eq!(draft(gateway.callers, 0xa7, "r1").await.status, 503);
+    platform.announce("e2", "engine", &endpoint);
+    gateway.wait_logged("event=endpoint endpoint=e2").await;
+    assert_eq!(draft(gateway.callers, 0xa7, "r2").await.status, 503);
+    assert!(endpoint.received().is_empty());
+}
+
+/// Another version of the service may not have the fault.
+#[tokio::test]
+async fn request_is_tried_again_when_the_version_that_crashed_is_gone() {
+    let (platform, endpoint, gateway) = one_engine(Action::Stream(2)).await;
+    let record = QuarantineRecord {
+        service: digest_text("engine"),
+        components: vec![component(0xa7)],
+        version: digest_text("v0"),
+        since_ms: 1_000,
+        is_lifted: false,
+    };
+    let text = String::from_utf8(record.encode()).expect("is JSON");
+    platform.log.put("keyed.status", &record.key(9), &text);
+    gateway.wait_logged("event=quarantined").await;
+    assert!(draft(gateway.callers, 0xa7, "r1").await.is_whole());
+    gateway.wait_logged("event=quarantine_lifted").await;
+    assert_eq!(endpoint.received().len(), 1);
+}
+
 /// Reports are not authenticated either: what the counting gateway answers itself is
 /// not held back, whatever is reported.
 #[tokio::test]
