Tell a new peer what holds after a status, not before it

Found by a test of a gateway that starts while others hold a part back. Who hears a new peer told it at once what is held back and which limits endpoints named; the new peer had not heard the teller yet, and takes such notices from no stranger, so that they were lost in most cases. The log hid that for what is held back; limits it does not hold.

A status now goes to the new peer first, if there is anything to tell. Also a test that the gateway that is left of four finds the part when those that count ended in between.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -32,7 +32,13 @@
             }
             () = gateway.update_pending.notified() => send_update(&gateway, &socket, incarnation_ms).await,
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => receive(&gateway, &buffer[..length], from),
+                Ok((length, from)) => {
+                    let heard = receive(&gateway, &buffer[..length], from);
+                    if heard == Heard::Newly && gateway.has_standing_notices() {
+                        sequence += 1;
+                        greet(&gateway, &socket, from, incarnation_ms, sequence).await;
+                    }
+                }
                 // An ICMP error from a peer without a listener is reported
                 // here.
                 Err(_) => gateway.stats.count("peer_words", "receive_failed"),
@@ -41,7 +47,29 @@
     }
 }
 
-fn receive(gateway: &Gateway, bytes: &[u8], from: SocketAddr) {
+/// Whether a datagram is the first status of a peer that was silent or unknown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Heard {
+    Before,
+    Newly,
+}
+
+/// Tells a peer that is new what holds until further notice. A status goes first, since
+/// the peer takes notices only from a gateway that it has heard.
+async fn greet(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    peer: SocketAddr,
+    incarnation_ms: u64,
+    sequence: u64,
+) {
+    let status = build_status(gateway, incarnation_ms, sequence);
+    send(gateway, socket, &Datagram::Status(status), vec![peer]).await;
+    gateway.announce_known_limits();
+    gateway.tell_quarantines(peer);
+}
+
+fn receive(gateway: &Gateway, bytes: &[u8], from: SocketAddr) -> Heard {
     let now = gateway.now();
     match decode_datagram(bytes) {
         Some(Datagram::Status(status)) => {
@@ -50,14 +78,13 @@
             let is_new = gateway.peers.borrow_mut().record_status(from, status, now);
             if is_new {
                 info!("event=peer_heard peer={from}");
-                gateway.announce_known_limits();
-                gateway.tell_quarantines(from);
+                return Heard::Newly;
             }
         }
         Some(Datagram::Update(update)) => {
             gateway.stats.count("peer_words", "news");
             if !gateway.peers.borrow_mut().record_update(from, &update) {
-                return;
+                return Heard::Before;
             }
             for (session, version) in update.sessions {
                 gateway.set_session_version(session, version);
@@ -77,6 +104,7 @@
         Some(other) => receive_from_heard(gateway, &other, from, now),
         None => gateway.stats.count("peer_words", "malformed"),
     }
+    Heard::Before
 }
 
 /// Handles the datagrams of the exchange with trackers and on limits; those of a sender
@@ -134,27 +162,28 @@
     for peer in gateway.peers.borrow_mut().expire(now) {
         warn!("event=peer_silent peer={peer}");
     }
-    let (status, receivers) = {
-        let mut peers = gateway.peers.borrow_mut();
-        let mut endpoint_load = gateway.pool.borrow().own_load();
-        endpoint_load.truncate(ENDPOINTS_MAX);
-        let status = PeerStatus {
-            incarnation_ms,
-            sequence,
-            catalog_version: gateway.catalog().map_or(0, |catalog| catalog.version),
-            can_read_log: !gateway.log_lost.get(),
-            log_positions: gateway.log_positions.get(),
-            endpoint_load,
-            rollouts: gateway.rollout_reports(ROLLOUTS_MAX),
-            peers: peers.advertised(now),
-        };
-        (status, peers.next_receivers())
-    };
+    let status = build_status(gateway, incarnation_ms, sequence);
+    let receivers = gateway.peers.borrow_mut().next_receivers();
     gateway.update_peer_load(now);
     gateway.load.tracker.borrow_mut().expire(now);
     send(gateway, socket, &Datagram::Status(status), receivers).await;
 }
 
+fn build_status(gateway: &Gateway, incarnation_ms: u64, sequence: u64) -> PeerStatus {
+    let mut endpoint_load = gateway.pool.borrow().own_load();
+    endpoint_load.truncate(ENDPOINTS_MAX);
+    PeerStatus {
+        incarnation_ms,
+        sequence,
+        catalog_version: gateway.catalog().map_or(0, |catalog| catalog.version),
+        can_read_log: !gateway.log_lost.get(),
+        log_positions: gateway.log_positions.get(),
+        endpoint_load,
+        rollouts: gateway.rollout_reports(ROLLOUTS_MAX),
+        peers: gateway.peers.borrow().advertised(gateway.now()),
+    }
+}
+
 async fn send(
     gateway: &Gateway,
     socket: &UdpSocket,
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -213,6 +213,13 @@
         }
     }
 
+    /// Whether there are limits of endpoints or sets that are held back, which a peer that
+    /// is new has to know.
+    pub fn has_standing_notices(&self) -> bool {
+        let has_limits = !self.pool.borrow().limits().is_empty();
+        has_limits || !self.quarantine.sets.borrow().is_empty()
+    }
+
     /// Tells a peer that is new all that is held back.
     pub fn tell_quarantines(&self, peer: SocketAddr) {
         let sets = self.quarantine.sets.borrow();
--- a/tests/crashing_part.rs
+++ b/tests/crashing_part.rs
@@ -142,6 +142,31 @@
     assert!(2 * served >= of, "{served} of {of} sound requests served");
 }
 
+/// The gateways that count crashes may end before they have decided.
+#[tokio::test]
+async fn part_is_found_by_the_gateway_that_is_left() {
+    let mut fleet = Fleet::start().await;
+    while fleet.0.crashes() < 2 {
+        fleet.play_round().await;
+    }
+    fleet.0.end_other_gateways();
+    fleet.play_until_settled().await;
+    let (arrived, served, of) = fleet.play_known().await;
+    assert!(arrived <= ARRIVALS_MAX, "{arrived} requests with the part");
+    assert!(2 * served >= of, "{served} of {of} sound requests served");
+}
+
+/// A gateway that starts while the others hold a part back learns of it, also if the log
+/// has lost all records.
+#[tokio::test]
+async fn gateway_that_starts_learns_from_its_peers() {
+    let mut fleet = Fleet::start().await;
+    fleet.play_until_settled().await;
+    let late = fleet.0.add_gateway_on_new_log().await;
+    let line = late.wait_logged("event=quarantined").await;
+    assert!(line.contains("source=peer"), "{line}");
+}
+
 /// Endpoints that crash for another reason hold back no prompt.
 #[tokio::test]
 async fn prompts_of_every_kind_are_served_after_endpoints_crashed_at_random() {
--- a/tests/util/crash_fleet.rs
+++ b/tests/util/crash_fleet.rs
@@ -91,6 +91,23 @@
         }
     }
 
+    /// Starts a further gateway, which hears the others and reads a new log that holds
+    /// only the configuration and the endpoints.
+    pub async fn add_gateway_on_new_log(&mut self) -> GatewayProcess {
+        self.replace_log().await;
+        let known = self.gateways[0].peer_address;
+        let peers = format!("[peers]\naddresses = {known}\n");
+        let log = self.platform.log.address;
+        let gateway = GatewayProcess::start(&self.platform.dir, log, &peers);
+        gateway.wait_ready().await;
+        gateway
+    }
+
+    /// Ends all but one of the gateways.
+    pub fn end_other_gateways(&mut self) {
+        self.gateways.truncate(1);
+    }
+
     /// Sends the request that `text` gives for its number, each at another gateway than
     /// the one before.
     pub fn send<F>(&mut self, text: F) -> JoinHandle<Reply>
@@ -99,7 +116,7 @@
     {
         self.sent += 1;
         let text = text(self.sent);
-        let callers = self.gateways[self.sent % GATEWAYS].callers;
+        let callers = self.gateways[self.sent % self.gateways.len()].callers;
         tokio::spawn(async move { send(callers, &text).await })
     }
 
