--- a/tests/endless_answer.rs
+++ b/tests/endless_answer.rs
@@ -4,7 +4,7 @@
 
 use standin::{Action, Framing, ScriptedEndpoint};
 
-use crate::util::gateway_harness::{GatewayProcess, TestPlatform, request, send};
+use crate::util::gateway_harness::{one_endpoint, request, send};
 
 /// Most memory that a gateway may use while it gets bytes without end, KiB; the
 /// smallest instance of the users has 88 MB.
@@ -13,18 +13,6 @@
 const DRAFT_HEADERS: &str =
     "x-model: *\r\nx-token-usage: 100,40\r\nx-prompt-prefix: a1:60,b2:40\r\n";
 
-async fn one_endpoint(
-    service: &str,
-    act: Action,
-) -> (TestPlatform, ScriptedEndpoint, GatewayProcess) {
-    let platform = TestPlatform::start().await;
-    let endpoint = ScriptedEndpoint::start(act).await;
-    platform.announce("p1", service, &endpoint);
-    let gateway = platform.gateway("").await;
-    gateway.wait_logged("endpoint=p1").await;
-    (platform, endpoint, gateway)
-}
-
 /// Waits until the gateway has closed the connections of all requests.
 async fn assert_all_closed(endpoint: &ScriptedEndpoint) {
     for _ in 0..500 {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -12,19 +12,14 @@
 use tokio::net::UdpSocket;
 
 use crate::util::gateway_harness::{
-    GatewayProcess, Reply, TestPlatform, request, send,
+    GatewayProcess, Reply, TestPlatform, one_endpoint, request, send,
 };
 
 /// Interval of the statuses of a peer, shorter than the age up to which it counts.
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 
 async fn one_engine(act: Action) -> (TestPlatform, ScriptedEndpoint, GatewayProcess) {
-    let platform = TestPlatform::start().await;
-    let endpoint = ScriptedEndpoint::start(act).await;
-    platform.announce("e1", "engine", &endpoint);
-    let gateway = platform.gateway("").await;
-    gateway.wait_logged("endpoint=e1").await;
-    (platform, endpoint, gateway)
+    one_endpoint("engine", act).await
 }
 
 /// Sends a request with the shared part `part` in its prompt.
@@ -74,6 +69,22 @@
     })
 }
 
+/// A record that holds back requests with `part`, since endpoints of `version` crashed.
+fn hold_record(part: u64, version: &str) -> QuarantineRecord {
+    QuarantineRecord {
+        service: digest_text("engine"),
+        components: vec![component(part)],
+        version: digest_text(version),
+        since_ms: 1_000,
+        is_lifted: false,
+    }
+}
+
+fn put_record(platform: &TestPlatform, record: &QuarantineRecord) {
+    let text = String::from_utf8(record.encode()).expect("is JSON");
+    platform.log.put("keyed.status", &record.key(9), &text);
+}
+
 #[tokio::test]
 async fn held_back_caller_is_told_at_once_that_the_request_did_not_run() {
     let (_platform, endpoint, gateway) = one_engine(Action::Stream(2)).await;
@@ -139,25 +150,16 @@
 #[tokio::test]
 async fn record_in_the_log_holds_back_until_it_says_otherwise() {
     let (platform, _endpoint, gateway) = one_engine(Action::Stream(2)).await;
-    let record = QuarantineRecord {
-        service: digest_text("engine"),
-        components: vec![component(0xa7)],
-        version: digest_text("v1"),
-        since_ms: 1_000,
-        is_lifted: false,
-    };
-    let put = |record: &QuarantineRecord| {
-        let text = String::from_utf8(record.encode()).expect("is JSON");
-        platform.log.put("keyed.status", &record.key(9), &text);
-    };
-    put(&record);
+    let record = hold_record(0xa7, "v1");
+    put_record(&platform, &record);
     let line = gateway.wait_logged("event=quarantined").await;
     assert!(line.contains("source=log"), "{line}");
     assert_eq!(draft(gateway.callers, 0xa7, "r1").await.status, 503);
-    put(&QuarantineRecord {
+    let lifted = QuarantineRecord {
         is_lifted: true,
         ..record
-    });
+    };
+    put_record(&platform, &lifted);
     gateway.wait_logged("event=quarantine_lifted").await;
     assert!(draft(gateway.callers, 0xa7, "r2").await.is_whole());
 }
@@ -167,21 +169,13 @@
 #[tokio::test]
 async fn hold_outlasts_the_absence_of_all_endpoints() {
     let (platform, endpoint, gateway) = one_engine(Action::Stream(2)).await;
-    let record = QuarantineRecord {
-        service: digest_text("engine"),
-        components: vec![component(0xa7)],
-        version: digest_text("v1"),
-        since_ms: 1_000,
-        is_lifted: false,
-    };
-    let text = String::from_utf8(record.encode()).expect("is JSON");
-    platform.log.put("keyed.status", &record.key(9), &text);
+    put_record(&platform, &hold_record(0xa7, "v1"));
     gateway.wait_logged("event=quarantined").await;
-    platform.log.put("keyed.servers", "e1", "");
+    platform.log.put("keyed.servers", "p1", "");
     gateway.wait_logged("event=endpoint_gone").await;
     assert_eq!(draft(gateway.callers, 0xa7, "r1").await.status, 503);
-    platform.announce("e2", "engine", &endpoint);
-    gateway.wait_logged("event=endpoint endpoint=e2").await;
+    platform.announce("p2", "engine", &endpoint);
+    gateway.wait_logged("event=endpoint endpoint=p2").await;
     assert_eq!(draft(gateway.callers, 0xa7, "r2").await.status, 503);
     assert!(endpoint.received().is_empty());
 }
@@ -190,15 +184,7 @@
 #[tokio::test]
 async fn request_is_tried_again_when_the_version_that_crashed_is_gone() {
     let (platform, endpoint, gateway) = one_engine(Action::Stream(2)).await;
-    let record = QuarantineRecord {
-        service: digest_text("engine"),
-        components: vec![component(0xa7)],
-        version: digest_text("v0"),
-        since_ms: 1_000,
-        is_lifted: false,
-    };
-    let text = String::from_utf8(record.encode()).expect("is JSON");
-    platform.log.put("keyed.status", &record.key(9), &text);
+    put_record(&platform, &hold_record(0xa7, "v0"));
     gateway.wait_logged("event=quarantined").await;
     assert!(draft(gateway.callers, 0xa7, "r1").await.is_whole());
     gateway.wait_logged("event=quarantine_lifted").await;
--- a/tests/unframed_answer.rs
+++ b/tests/unframed_answer.rs
@@ -3,21 +3,9 @@
 use standin::{Action, ScriptedEndpoint, StreamEnd};
 
 use crate::util::gateway_harness::{
-    GatewayProcess, Reply, TestPlatform, request, send,
+    GatewayProcess, Reply, one_endpoint, request, send,
 };
 
-async fn one_endpoint(
-    service: &str,
-    act: Action,
-) -> (TestPlatform, ScriptedEndpoint, GatewayProcess) {
-    let platform = TestPlatform::start().await;
-    let endpoint = ScriptedEndpoint::start(act).await;
-    platform.announce("p1", service, &endpoint);
-    let gateway = platform.gateway("").await;
-    gateway.wait_logged("endpoint=p1").await;
-    (platform, endpoint, gateway)
-}
-
 async fn draft(gateway: &GatewayProcess) -> Reply {
     draft_about(gateway, "a1").await
 }
--- a/tests/util/gateway_harness.rs
+++ b/tests/util/gateway_harness.rs
@@ -9,7 +9,7 @@
 };
 
 use rustix::process::{Pid, Signal, kill_process};
-use standin::{KeyedLogService, ScriptedEndpoint};
+use standin::{Action, KeyedLogService, ScriptedEndpoint};
 use tempfile::TempDir;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -328,6 +328,19 @@
     }
 }
 
+/// Starts a platform with one endpoint, `p1`, of `service`, and a gateway that knows it.
+pub async fn one_endpoint(
+    service: &str,
+    act: Action,
+) -> (TestPlatform, ScriptedEndpoint, GatewayProcess) {
+    let platform = TestPlatform::start().await;
+    let endpoint = ScriptedEndpoint::start(act).await;
+    platform.announce("p1", service, &endpoint);
+    let gateway = platform.gateway("").await;
+    gateway.wait_logged("endpoint=p1").await;
+    (platform, endpoint, gateway)
+}
+
 /// Formats a request of team A; `extra` is a list of header lines.
 pub fn request(method: &str, path: &str, id: &str, extra: &str, body: &str) -> String {
     format!(
