--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -144,6 +144,7 @@
         }
     }
 
+    /// Returns the gateway that sent the request.
     pub fn gateway(&self) -> &Gateway {
         &self.gateway
     }
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -35,6 +35,7 @@
 use crate::{
     caller_request::CallerRequest,
     datagram::{CrashNotice, Datagram, QuarantineNotice, QuarantineState},
+    dispatch::id_str,
     state::Gateway,
 };
 
@@ -74,6 +75,7 @@
 }
 
 impl Gateway {
+    /// Serves the requests of a set again.
     fn lift(&self, set: &Quarantine, reason: &str) {
         if self.quarantine.sets.borrow_mut().lift(&set.components) {
             info!(
@@ -105,7 +107,7 @@
             "event=quarantine_review service={} components={} request={}",
             req.service,
             set_text(&set.components),
-            crate::dispatch::id_str(&req.id)
+            id_str(&req.id)
         );
         Hold::Free
     }
@@ -134,6 +136,7 @@
         versions.peek().is_some() && versions.all(|other| digest_text(other) != version)
     }
 
+    /// Returns a version that endpoints of a service have; zero if there are none.
     fn first_version(&self, service: &str) -> u64 {
         let pool = self.pool.borrow();
         pool.versions(service).next().map_or(0, digest_text)
