Bound the evaluation of crashes when the ledger is full

Found on reading the change again. A component that this gateway's answers clear is recorded in the ledger and the crashes are evaluated anew, until none is left; a ledger whose table of answers is full records nothing, so that this never ended. It is bounded now, and nothing is held back then.

--- a/crates/gateway/src/quarantine/decisions.rs
+++ b/crates/gateway/src/quarantine/decisions.rs
@@ -111,13 +111,15 @@
             ledgers.keys().copied().collect()
         };
         for service in services {
-            let mut suspects = self.suspects(service, now);
             // What is held back explains crashes, so that others may stand out.
             for _ in 0..EVALUATIONS_MAX {
-                for suspect in std::mem::take(&mut suspects) {
+                let suspects = self.suspects(service, now);
+                if suspects.is_empty() {
+                    break;
+                }
+                for suspect in suspects {
                     self.hold_suspect(service, suspect, now);
                 }
-                suspects = self.suspects(service, now);
             }
         }
     }
@@ -130,7 +132,8 @@
             return Vec::new();
         };
         let sound = self.quarantine.sound.borrow();
-        loop {
+        // Bounded, since the ledger does not record every answer once it is full.
+        for _ in 0..EVALUATIONS_MAX {
             let suspects = ledger.suspects(&held, now);
             let proven: Vec<u64> = suspects
                 .iter()
@@ -145,6 +148,7 @@
                 ledger.record_sound(component, now);
             }
         }
+        Vec::new()
     }
 
     pub(super) fn hold_suspect(
