--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -234,6 +234,40 @@
     gateway.wait_logged("lifted=true").await;
 }
 
+/// Regression test: with its table of answers full, the evaluation of crashes never ended
+/// once a component that this gateway had answered was reported.
+#[tokio::test]
+async fn full_table_of_answers_does_not_stop_the_gateway() {
+    let (_platform, _endpoint, gateway) = one_engine(Action::Stream(2)).await;
+    let (peer, to) = (heard_peer(&gateway).await, gateway.peer_address);
+    assert!(draft(gateway.callers, 0xa7, "r1").await.is_whole());
+    let report = |endpoint, shared| {
+        Datagram::Cut(CutReport {
+            service: digest_text("engine"),
+            version: digest_text("v1"),
+            endpoint,
+            answered: 1_000,
+            identity: endpoint,
+            shared,
+            ..CutReport::default()
+        })
+    };
+    send_datagram(&peer, to, &report(99, Vec::new())).await;
+    for n in 0..40_u64 {
+        let notice = SoundNotice {
+            service: digest_text("engine"),
+            components: (0..32).map(|i| 1_000 + 32 * n + i).collect(),
+        };
+        send_datagram(&peer, to, &Datagram::Sound(notice)).await;
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    for endpoint in 0..6 {
+        send_datagram(&peer, to, &report(endpoint, vec![component(0xa7)])).await;
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    assert!(draft(gateway.callers, 0xa7, "r2").await.is_whole());
+}
+
 proptest! {
     #[test]
     fn record_survives_encoding(
