Let reads of the log wait longer in a large fleet, with a wider spread

Waits were drawn from the upper half of a range that grows with the fleet, so the first of them ended late and the mean was short. Change: waits are drawn from the whole range, which grows by 600 ms a gateway; the first of all waits then ends about 0.6 s after the shortest one, in any fleet. Ruled out: longer batches of endpoint changes; they delay drains and returns.

--- a/crates/store/src/read_pacing.rs
+++ b/crates/store/src/read_pacing.rs
@@ -16,8 +16,9 @@
 /// Number of processes up to which none waits longer than it would alone.
 const SMALL_FLEET: u64 = 5;
 
-/// Maximum factor by which a process waits longer than it would alone.
-const WAIT_FACTOR_MAX: u64 = 10;
+/// Time by which each further process lengthens the longest wait, ms. The first of all
+/// waits that start at once ends, on average, about this long after the shortest one.
+const WAIT_PER_PROCESS_MS: u64 = 600;
 
 /// Maximum wait of a read, ms; the log allows little more.
 const WAIT_MAX_MS: u64 = 25_000;
@@ -55,20 +56,20 @@
 
     /// Returns the maximum wait of a read, ms.
     pub fn longest_wait_ms(&self) -> u64 {
-        let max_ms = self.base_wait_ms.saturating_mul(WAIT_FACTOR_MAX);
-        self.scaled_ms(self.base_wait_ms, max_ms.min(WAIT_MAX_MS))
+        let further = self.fleet.get().saturating_sub(SMALL_FLEET);
+        let wait_ms = self.base_wait_ms + further * WAIT_PER_PROCESS_MS;
+        wait_ms.min(WAIT_MAX_MS).max(self.base_wait_ms)
     }
 
-    /// Draws the wait of the next read, ms. Waits longer than the shortest possible
-    /// one differ, since an answer that reaches all processes at once must not
-    /// synchronize their next reads.
+    /// Draws the wait of the next read, ms, from the whole range: an answer that reaches
+    /// all processes at once must not synchronize their next reads, and the first of
+    /// them to end tells whether the log is still there.
     pub fn draw_wait_ms<R>(&self, rng: &mut R) -> u64
     where
         R: Rng,
     {
         let longest_ms = self.longest_wait_ms();
-        let shortest_ms = (longest_ms / 2).max(self.base_wait_ms);
-        rng.random_range(shortest_ms..=longest_ms)
+        rng.random_range(self.base_wait_ms..=longest_ms)
     }
 
     /// Returns the maximum delay between two failed calls, ms.
--- a/tests/load_tracking.rs
+++ b/tests/load_tracking.rs
@@ -270,6 +270,26 @@
     assert!(*first < longest_ms * 6 / 10 && *last > longest_ms * 9 / 10);
 }
 
+/// A log that goes silent at all processes at once is noticed by the first wait that
+/// ends, so that one must stay short however large the fleet is. Longer waits on
+/// average are what saves calls.
+#[test]
+fn first_wait_of_a_fleet_ends_soon_whatever_its_size() {
+    const PLAYS: u64 = 200;
+    let mut rng = StdRng::seed_from_u64(5);
+    for gateways in [6, 22, 31, 68, 300] {
+        let pacing = ReadPacing::new(800);
+        pacing.set_peers(gateways - 1);
+        let mut first_sum_ms = 0;
+        for _ in 0..PLAYS {
+            let waits = (0..gateways).map(|_| pacing.draw_wait_ms(&mut rng));
+            first_sum_ms += waits.min().unwrap_or_default();
+        }
+        let first_ms = first_sum_ms / PLAYS;
+        assert!(first_ms <= 1_500, "{first_ms} ms at {gateways}");
+    }
+}
+
 /// 28 gateways filled an endpoint's 230 connections with idle ones, and requests that
 /// must run at most once were reset after they had been sent.
 #[test]
