Leave out failure domains that operators empty

Cause: operators could not take a failure domain out of use; gateways went on sending retries, resumed streams and steps of cascades there. Change: the record evacuate/DOMAIN in the operators' topic makes the pool leave out the domain's endpoints in every choice. A gateway that cannot read the log believes a peer that has read further, for 10 s after each status. A restored log neither loses nor repeats a request: a removal that leads to the restored state is ignored, and so is a request at an offset up to that of a withdrawn one. A trial of a quarantine is not used up while only evacuated endpoints are left. Gauge domain_running, counter evacuated, refusal evacuated. PeerStatus has one more field at its end, so gateways of this build do not hear those of earlier ones.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -117,6 +117,7 @@
         if sent.is_some_and(|sent| gateway.peers.borrow_mut().queue_dispatch(sent)) {
             gateway.update_pending.notify_one();
         }
+        gateway.stats.start_in_domain(&pick.endpoint.failure_domain);
         InFlight {
             gateway: gateway.clone(),
             started: now,
@@ -232,6 +233,8 @@
             .pool
             .borrow_mut()
             .record_end(&self.pick.endpoint.id);
+        let domain = &self.pick.endpoint.failure_domain;
+        self.gateway.stats.end_in_domain(domain);
         if !self.is_settled.get() {
             self.gateway.remember_abandoned(self);
         }
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -7,8 +7,8 @@
 //!
 //! Datagrams are not authenticated, so their values are bounded. They can change
 //! load predictions, set the version of a session, halt or end a rollout, make this
-//! gateway prefer other endpoints for some seconds, make it fetch a newer
-//! configuration, or hold back requests for some seconds whose content no recent answer
+//! gateway prefer other endpoints for some seconds, keep it from using failure domains
+//! while it cannot read the log itself, make it fetch a newer configuration, or hold back requests for some seconds whose content no recent answer
 //! had; they never change what a request may do.
 
 use std::net::SocketAddr;
@@ -24,6 +24,9 @@
 /// Maximum number of peers in one status.
 pub(crate) const ADVERTISED_PEERS_MAX: usize = 16;
 
+/// Maximum number of evacuated failure domains in one status.
+pub(crate) const EVACUATED_MAX: usize = 16;
+
 /// Maximum number of rollouts in one status.
 pub(crate) const ROLLOUTS_MAX: usize = 2;
 
@@ -322,6 +325,9 @@
     pub rollouts: Vec<RolloutReport>,
     /// Peers from which the sender recently received a status.
     pub peers: Vec<SocketAddr>,
+    /// Digests of the failure domains that the operators' topic names as evacuated, up
+    /// to the sender's position there.
+    pub evacuated: Vec<u64>,
 }
 
 impl PeerStatus {
@@ -345,6 +351,7 @@
         self.endpoint_load.len() <= ENDPOINTS_MAX
             && self.rollouts.len() <= ROLLOUTS_MAX
             && self.peers.len() <= ADVERTISED_PEERS_MAX
+            && self.evacuated.len() <= EVACUATED_MAX
             && self.rollouts.iter().all(is_within_bounds)
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -391,7 +391,10 @@
             if self.gateway.held_until(&self.req).is_some() {
                 return None;
             }
-            let pause_end = self.earliest_pause_end()?;
+            let Some(pause_end) = self.earliest_pause_end() else {
+                self.count_evacuated(None);
+                return None;
+            };
             if !may_wait || !self.may_attempt() || !self.can_wait_until(pause_end) {
                 return None;
             }
@@ -519,6 +522,9 @@
             (false, _, Some(_)) if held_until.is_some() => {
                 (StatusCode::SERVICE_UNAVAILABLE, "held_back")
             }
+            (false, ..) if self.leaves_out_evacuated() => {
+                (StatusCode::SERVICE_UNAVAILABLE, "evacuated")
+            }
             (false, _, Some(_)) => {
                 (StatusCode::SERVICE_UNAVAILABLE, "endpoints_paused")
             }
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -7,8 +7,8 @@
 use clock::Millis;
 use log::{info, warn};
 use platform::{
-    Announcement, CATALOG_KEY, ENDPOINT_TOPIC, LogClient, OPERATOR_TOPIC,
-    ORDER_KEY_PREFIX, QUARANTINE_KEY_PREFIX, STATUS_TOPIC,
+    Announcement, CATALOG_KEY, ENDPOINT_TOPIC, EVACUATION_KEY_PREFIX, LogClient,
+    OPERATOR_TOPIC, ORDER_KEY_PREFIX, QUARANTINE_KEY_PREFIX, STATUS_TOPIC,
 };
 use route::AnnouncedAt;
 use store::{FollowOptions, KeyedChange, KeyedEvent, LogPosition, follow_keyed};
@@ -109,6 +109,7 @@
             gateway.endpoints_stale.notify_one();
         }
         gateway.idle_connections.borrow_mut().expire(now);
+        gateway.apply_evacuations(now);
         let expired = gateway.pool.borrow_mut().expire(now);
         for id in expired {
             info!("event=endpoint_gone endpoint={id} reason=lapsed");
@@ -149,6 +150,9 @@
             for change in changes {
                 apply_change(gateway, topic, change, fresh);
             }
+            if topic == OPERATOR_TOPIC {
+                gateway.record_evacuations_read(end);
+            }
             let positions = gateway.log_positions.get();
             match topic {
                 STATUS_TOPIC => gateway.status_end.set(end),
@@ -168,6 +172,9 @@
                 // Endpoints that the copy does not list announce themselves again.
                 gateway.pool.borrow_mut().discovery_restored(gateway.now());
             }
+            if topic == OPERATOR_TOPIC {
+                gateway.evacuations.borrow_mut().log_restored();
+            }
         }
         KeyedEvent::Lost { .. } if topic == OPERATOR_TOPIC => {
             gateway.log_lost.set(true)
@@ -209,6 +216,12 @@
                 position,
             },
         ) => apply_operator_record(gateway, &key, &value, position, fresh),
+        (OPERATOR_TOPIC, KeyedChange::Removed { key })
+            if key.starts_with(EVACUATION_KEY_PREFIX) =>
+        {
+            let domain = &key[EVACUATION_KEY_PREFIX.len()..];
+            gateway.evacuations.borrow_mut().record_removal(domain);
+        }
         (STATUS_TOPIC, KeyedChange::Put { key, value, .. }) => {
             apply_status(gateway, &key, Some(&value));
         }
@@ -260,6 +273,11 @@
         gateway.install(bytes, "log");
         return;
     }
+    if let Some(domain) = key.strip_prefix(EVACUATION_KEY_PREFIX) {
+        let mut evacuations = gateway.evacuations.borrow_mut();
+        evacuations.record_request(domain, position.offset);
+        return;
+    }
     if !key.starts_with(ORDER_KEY_PREFIX) {
         info!("event=record_ignored topic={OPERATOR_TOPIC} key=\"{key}\"");
         return;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -7,7 +7,10 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    datagram::{Datagram, ENDPOINTS_MAX, PeerStatus, ROLLOUTS_MAX, decode_datagram},
+    datagram::{
+        Datagram, ENDPOINTS_MAX, EVACUATED_MAX, PeerStatus, ROLLOUTS_MAX,
+        decode_datagram,
+    },
     peers::STATUS_INTERVAL_MS,
     state::Gateway,
 };
@@ -75,6 +78,7 @@
         Some(Datagram::Status(status)) => {
             gateway.stats.count("peer_words", "taken");
             gateway.merge_rollout_reports(&status);
+            gateway.merge_evacuations(&status, now);
             let is_new = gateway.peers.borrow_mut().record_status(from, status, now);
             if is_new {
                 info!("event=peer_heard peer={from}");
@@ -171,7 +175,9 @@
 
 fn build_status(gateway: &Gateway, incarnation_ms: u64, sequence: u64) -> PeerStatus {
     let mut endpoint_load = gateway.pool.borrow().own_load();
-    endpoint_load.truncate(ENDPOINTS_MAX);
+    let evacuated = gateway.evacuations.borrow().logged(EVACUATED_MAX);
+    // A digest takes the room of a row at most, so that the status still fits.
+    endpoint_load.truncate(ENDPOINTS_MAX - evacuated.len());
     PeerStatus {
         incarnation_ms,
         sequence,
@@ -181,6 +187,7 @@
         endpoint_load,
         rollouts: gateway.rollout_reports(ROLLOUTS_MAX),
         peers: gateway.peers.borrow().advertised(gateway.now()),
+        evacuated,
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod datagram;
 mod dispatch;
 mod endpoint_state;
+mod evacuation;
 mod event_framer;
 mod follower;
 mod gossip;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -21,15 +21,19 @@
     /// Picks an endpoint, unless the request is held back; a resumed stream requires one
     /// of `version`.
     pub async fn pick_endpoint(&self, version: Option<&str>) -> Option<InFlight> {
-        if let Hold::HeldUntil(review_at) = self.gateway.check_hold(&self.req) {
-            self.log.held_back(review_at);
-            return None;
-        }
         let versions = match version {
             Some(version) => VersionFilter::Only(version),
             None => self.assignment.versions(),
         };
         let request = self.pick_request(self.size, versions);
+        // A trial of a request that is held back would be used up without an endpoint.
+        if self.gateway.pool.borrow().finds_only_evacuated(&request) {
+            return None;
+        }
+        if let Hold::HeldUntil(review_at) = self.gateway.check_hold(&self.req) {
+            self.log.held_back(review_at);
+            return None;
+        }
         let loads = self.gateway.ask_loads(&request).await;
         for _ in 0..LIMITED_PICKS_MAX {
             let pick = {
@@ -56,6 +60,26 @@
         pool.earliest_pause_end(&request, self.gateway.now())
     }
 
+    /// Returns whether endpoints that match the request are left out since their failure
+    /// domain is evacuated.
+    pub fn leaves_out_evacuated(&self) -> bool {
+        let request = self.pick_request(self.size, self.assignment.versions());
+        self.gateway.pool.borrow().leaves_out_evacuated(&request)
+    }
+
+    /// Counts an attempt for which no endpoint was found, if all that match are in
+    /// evacuated failure domains; a resumed stream requires one of `version`.
+    pub fn count_evacuated(&self, version: Option<&str>) {
+        let versions = match version {
+            Some(version) => VersionFilter::Only(version),
+            None => self.assignment.versions(),
+        };
+        let request = self.pick_request(self.size, versions);
+        if self.gateway.pool.borrow().finds_only_evacuated(&request) {
+            self.gateway.stats.count("evacuated", &self.req.service);
+        }
+    }
+
     /// Whether the request can wait until `pause_end` and still be answered in time.
     pub fn can_wait_until(&self, pause_end: Millis) -> bool {
         let bounds = WaitBounds {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -216,6 +216,7 @@
             }
             let Some(in_flight) = dispatch.pick_endpoint(Some(&endpoint.version)).await
             else {
+                dispatch.count_evacuated(Some(&endpoint.version));
                 return false;
             };
             let id = in_flight.pick.endpoint.id.clone();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,8 @@
 use log::{info, warn};
 use platform::HeaderNames;
 use route::{
-    Costs, FirstSize, Pool, RetryBudget, RolloutStatuses, SizeSettings, digest_text,
+    Costs, Evacuations, FirstSize, Pool, RetryBudget, RolloutStatuses, SizeSettings,
+    digest_text,
 };
 use settings::{FirstModel, Settings};
 use store::{LogPosition, ReadPacing};
@@ -65,6 +66,8 @@
     pub limits_exchange: LimitExchange,
     /// Crashes, and the requests that are held back because of them.
     pub quarantine: QuarantineExchange,
+    /// Failure domains that the operators empty.
+    pub evacuations: RefCell<Evacuations>,
     pub idle_connections: RefCell<IdleConnections>,
     pub stats: Stats,
     pub peers: RefCell<Peers>,
@@ -141,6 +144,7 @@
             load: LoadExchange::new(routing.prefill_tokens_per_ms),
             limits_exchange: LimitExchange::default(),
             quarantine: QuarantineExchange::default(),
+            evacuations: RefCell::default(),
             idle_connections: RefCell::default(),
             stats: Stats::default(),
             peers: RefCell::new(peers),
--- a/crates/gateway/src/stats.rs
+++ b/crates/gateway/src/stats.rs
@@ -36,6 +36,8 @@
 pub(crate) struct Stats {
     pub requests_open: Cell<u64>,
     pub connections_open: Cell<u64>,
+    /// Requests in progress by failure domain of their endpoints.
+    domain_running: RefCell<BTreeMap<String, u64>>,
     counters: RefCell<BTreeMap<(&'static str, String), u64>>,
     histograms: RefCell<BTreeMap<(&'static str, String), Histogram>>,
 }
@@ -52,6 +54,30 @@
         }
     }
 
+    /// Adds a failure domain, without requests, to the metrics.
+    pub fn add_domain(&self, domain: &str) {
+        let mut running = self.domain_running.borrow_mut();
+        running.entry(domain.to_owned()).or_default();
+    }
+
+    /// Counts a request that was sent to a failure domain.
+    pub fn start_in_domain(&self, domain: &str) {
+        let mut running = self.domain_running.borrow_mut();
+        match running.get_mut(domain) {
+            Some(count) => *count += 1,
+            None => {
+                running.insert(domain.to_owned(), 1);
+            }
+        }
+    }
+
+    /// Counts the end of a request that was sent to a failure domain.
+    pub fn end_in_domain(&self, domain: &str) {
+        if let Some(count) = self.domain_running.borrow_mut().get_mut(domain) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
     /// Adds a time to a histogram.
     pub fn time(&self, name: &'static str, label: &str, ms: u64) {
         let mut histograms = self.histograms.borrow_mut();
@@ -69,6 +95,12 @@
         for (name, gauge) in gauges {
             let _ = writeln!(text, "currantbank_{name} {}", gauge.get());
         }
+        for (domain, count) in self.domain_running.borrow().iter() {
+            let _ = writeln!(
+                text,
+                "currantbank_domain_running{{of=\"{domain}\"}} {count}"
+            );
+        }
         for ((name, label), count) in self.counters.borrow().iter() {
             let _ = writeln!(text, "currantbank_{name}{{of=\"{label}\"}} {count}");
         }
--- a/crates/route/src/pool/discovery.rs
+++ b/crates/route/src/pool/discovery.rs
@@ -95,6 +95,7 @@
         };
         let endpoint = Endpoint { state, ..endpoint };
         let changed = stats.endpoint != endpoint;
+        stats.domain_digest = digest_text(&endpoint.failure_domain);
         stats.endpoint = endpoint;
         changed
     }
--- a/crates/route/src/pool/endpoint_stats.rs
+++ b/crates/route/src/pool/endpoint_stats.rs
@@ -62,6 +62,8 @@
     /// Time of the last response or other activity.
     pub last_activity: Millis,
     pub id_digest: u64,
+    /// Digest of the name of its failure domain.
+    pub domain_digest: u64,
     /// Time when each prefix was last sent to the endpoint, by salted digest.
     pub prefixes: HashMap<u64, Millis>,
     /// Whether the endpoint left the list while discovery was unavailable.
@@ -82,6 +84,7 @@
 impl EndpointStats {
     pub fn new(endpoint: Endpoint, announced: AnnouncedAt) -> Self {
         let id_digest = digest_text(&endpoint.id);
+        let domain_digest = digest_text(&endpoint.failure_domain);
         EndpointStats {
             endpoint,
             health: Health::default(),
@@ -91,6 +94,7 @@
             peer_prefill_tokens: 0.0,
             last_activity: Millis::default(),
             id_digest,
+            domain_digest,
             prefixes: HashMap::new(),
             unlisted: false,
             announced,
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -12,7 +12,7 @@
 mod pick;
 mod prefix;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use catalog::{Endpoint, EndpointState};
 use clock::Millis;
@@ -86,6 +86,8 @@
     grace_until: Option<Millis>,
     /// The last incarnation of each endpoint that left.
     departed: HashMap<String, Departure>,
+    /// Digests of the failure domains that get no requests.
+    evacuated: BTreeSet<u64>,
 }
 
 /// An incarnation that is draining, as gateways announce it to each other.
@@ -127,8 +129,8 @@
     /// if no endpoint matches.
     ///
     /// Ejected endpoints are skipped, unless more than half of the matching
-    /// ones are ejected. Draining endpoints and those that asked for a pause are
-    /// always skipped; those that only a peer calls draining are used if there is
+    /// ones are ejected. Draining endpoints, those that asked for a pause and those in
+    /// evacuated failure domains are always skipped; those that only a peer calls draining are used if there is
     /// no other, since notices of peers are not authenticated.
     pub fn pick(&self, request: &PickRequest<'_>, now: Millis) -> Option<Pick> {
         self.pick_tracked(request, &TrackedLoads::default(), now)
@@ -274,10 +276,62 @@
         paused.map(|stats| stats.paused_until).min()
     }
 
-    /// Returns the endpoints that may serve the request, healthy and paused or not.
+    /// Sets the failure domains whose endpoints get no requests, by the digests of
+    /// their names.
+    pub fn set_evacuated<I>(&mut self, domains: I)
+    where
+        I: IntoIterator<Item = u64>,
+    {
+        self.evacuated = domains.into_iter().collect();
+    }
+
+    /// Returns whether an endpoint that matches the request is left out since its
+    /// failure domain is evacuated.
+    pub fn leaves_out_evacuated(&self, request: &PickRequest<'_>) -> bool {
+        !self.evacuated.is_empty()
+            && self
+                .matching_anywhere(request)
+                .any(|stats| self.is_evacuated(stats))
+    }
+
+    /// Returns whether endpoints match the request, and all of them are in evacuated
+    /// failure domains.
+    pub fn finds_only_evacuated(&self, request: &PickRequest<'_>) -> bool {
+        self.leaves_out_evacuated(request) && self.matching(request).next().is_none()
+    }
+
+    /// Returns the name of the failure domain with this digest, if an endpoint is
+    /// there.
+    pub fn domain_of_digest(&self, digest: u64) -> Option<&str> {
+        let mut there = self.endpoints.values();
+        let found = there.find(|stats| stats.domain_digest == digest)?;
+        Some(&found.endpoint.failure_domain)
+    }
+
+    /// Returns the number of endpoints in the failure domain with this digest.
+    pub fn count_in_domain(&self, digest: u64) -> usize {
+        let there = self.endpoints.values();
+        there.filter(|stats| stats.domain_digest == digest).count()
+    }
+
+    fn is_evacuated(&self, stats: &EndpointStats) -> bool {
+        self.evacuated.contains(&stats.domain_digest)
+    }
+
+    /// Returns the endpoints that may serve the request, healthy and paused or not, in
+    /// failure domains that are not evacuated.
     fn matching<'a>(
         &'a self,
         request: &'a PickRequest<'_>,
+    ) -> impl Iterator<Item = &'a EndpointStats> {
+        let anywhere = self.matching_anywhere(request);
+        anywhere.filter(|stats| !self.is_evacuated(stats))
+    }
+
+    /// Like [`Pool::matching`], in all failure domains.
+    fn matching_anywhere<'a>(
+        &'a self,
+        request: &'a PickRequest<'_>,
     ) -> impl Iterator<Item = &'a EndpointStats> {
         self.endpoints.values().filter(|stats| {
             let endpoint = &stats.endpoint;
@@ -289,11 +343,13 @@
     }
 
     /// Returns whether `id` takes requests: it is listed, neither draining nor
-    /// paused.
+    /// paused, and its failure domain is not evacuated.
     pub fn takes_requests(&self, id: &str, now: Millis) -> bool {
         let stats = self.endpoints.get(id);
         stats.is_some_and(|stats| {
-            stats.endpoint.state == EndpointState::Ready && !stats.is_paused(now)
+            stats.endpoint.state == EndpointState::Ready
+                && !stats.is_paused(now)
+                && !self.is_evacuated(stats)
         })
     }
 
--- a/tests/util/gateway_harness.rs
+++ b/tests/util/gateway_harness.rs
@@ -290,6 +290,21 @@
         self.announce_as(id, service, endpoint.address, "v1", "ready");
     }
 
+    /// Publishes a ready endpoint of a version in the failure domain `zone`.
+    pub fn announce_in(
+        &self,
+        zone: &str,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        version: &str,
+    ) {
+        let record = format!(
+            r#"{{"service":"{service}","addr":"{address}","zone":"{zone}","version":"{version}","slots":8,"state":"ready","cold_left_ms":0,"seq":1,"born":5}}"#
+        );
+        self.log.put("keyed.servers", id, &record);
+    }
+
     /// Publishes an endpoint record with a version and a state.
     pub fn announce_as(
         &self,
