Use endpoints that refuse connections last, and more of the retry budget

Change: below half of the pool, ejected endpoints are used again, but those whose last ejection was for a connection that could not be established only if there is no other.

--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -8,8 +8,9 @@
 //! Datagrams are not authenticated, so their values are bounded. They can change
 //! load predictions, set the version of a session, halt or end a rollout, make this
 //! gateway prefer other endpoints for some seconds, keep it from using failure domains
-//! while it cannot read the log itself, make it fetch a newer configuration, or hold back requests for some seconds whose content no recent answer
-//! had; they never change what a request may do.
+//! while it cannot read the log itself, make it fetch a newer configuration, or hold
+//! back requests for some seconds whose content no recent answer had; they never change
+//! what a request may do.
 
 use std::net::SocketAddr;
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,9 +33,9 @@
     stats::Stats,
 };
 
-/// Fraction of the allowed retries that a gateway uses, since a counted first
-/// attempt may never have arrived at the endpoint.
-const RETRY_MARGIN: f64 = 0.9;
+/// Fraction of the allowed retries that a gateway uses, since retries bunch up on
+/// their way to the endpoint.
+const RETRY_MARGIN: f64 = 0.97;
 
 /// Interval of checks for a first configuration and endpoints, ms.
 const INITIAL_STATE_POLL_MS: u64 = 5;
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -46,6 +46,9 @@
     updated_at: Millis,
     ejected_until: Millis,
     ejections: u32,
+    /// Whether the last outcome that ejected the endpoint was that no connection could
+    /// be established.
+    is_unreachable: bool,
 }
 
 impl Health {
@@ -73,6 +76,7 @@
         let eject_ms = (EJECT_BASE_MS << self.ejections.min(8)).min(EJECT_MAX_MS);
         self.ejections += 1;
         self.ejected_until = now.plus(eject_ms);
+        self.is_unreachable = sample == HealthSample::Unreachable;
         // Near the threshold, a single failure after the ejection ejects the
         // endpoint again.
         self.failure_rate = EJECT_RATE * 0.9;
@@ -84,6 +88,12 @@
         now >= self.ejected_until
     }
 
+    /// Returns whether the endpoint is not ejected, or only for failures that may also be
+    /// the work of requests: a refused connection is evidence of its own.
+    pub fn is_reachable(&self, now: Millis) -> bool {
+        self.is_available(now) || !self.is_unreachable
+    }
+
     /// Returns the cost of the endpoint's recent failures, ms: its failure rate
     /// expressed as a wait, so that endpoints can be compared.
     pub fn penalty_ms(&self, now: Millis) -> f64 {
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -128,10 +128,11 @@
     /// Selects the matching endpoint with the lowest predicted cost, or `None`
     /// if no endpoint matches.
     ///
-    /// Ejected endpoints are skipped, unless more than half of the matching
-    /// ones are ejected. Draining endpoints, those that asked for a pause and those in
-    /// evacuated failure domains are always skipped; those that only a peer calls draining are used if there is
-    /// no other, since notices of peers are not authenticated.
+    /// Ejected endpoints are skipped, unless more than half of the matching ones are
+    /// ejected; those that could not be reached are then used if there is no other.
+    /// Draining endpoints, those that asked for a pause and those in evacuated failure
+    /// domains are always skipped; those that only a peer calls draining are used if
+    /// there is no other, since notices of peers are not authenticated.
     pub fn pick(&self, request: &PickRequest<'_>, now: Millis) -> Option<Pick> {
         self.pick_tracked(request, &TrackedLoads::default(), now)
     }
@@ -251,9 +252,13 @@
             .filter(|stats| stats.health.is_available(now))
             .count();
         // With fewer than half available, overloading the rest would cost more
-        // than the failures do.
-        let ignore_health = healthy * 2 < candidates.len();
-        candidates.retain(|stats| ignore_health || stats.health.is_available(now));
+        // than the failures do. Where no connection can be established, a request
+        // only loses time, so such endpoints are used if there is no other.
+        if healthy * 2 >= candidates.len() {
+            candidates.retain(|stats| stats.health.is_available(now));
+        } else if candidates.iter().any(|s| s.health.is_reachable(now)) {
+            candidates.retain(|stats| stats.health.is_reachable(now));
+        }
         if let VersionFilter::Trial(_, fraction) = request.versions {
             // All gateways have them in the order of their ids.
             let count = (candidates.len() as f64 * fraction).ceil() as usize;
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -185,6 +185,25 @@
     assert!(pool.pick(&request(&[], 0), now).is_some());
 }
 
+/// More than half of the endpoints crash at once: those that refuse connections must
+/// not be used again only because so many are out.
+#[test]
+fn endpoints_that_refuse_connections_are_not_used_while_others_answer() {
+    let mut pool = pool(5, Costs::default());
+    let now = Millis(10_000);
+    for id in ["e0", "e1", "e2"] {
+        pool.record_health(id, HealthSample::Unreachable, now);
+    }
+    for _ in 0..20 {
+        let pick = pool.pick(&request(&[], 0), now).unwrap();
+        assert!(
+            ["e3", "e4"].contains(&pick.endpoint.id.as_str()),
+            "{pick:?}"
+        );
+        pool.record_dispatch(&pick.endpoint.id, &request(&[], 0), 0, now);
+    }
+}
+
 #[test]
 fn partly_failing_endpoint_is_ejected_but_full_one_is_not() {
     let mut health = Health::default();
