Add the crate of owners and open questions

Cause: load questions, limits and crash reports each choose the responsible gateway and wait for its answers with code of their own, and two further parts need the same. It does no I/O; nothing uses it yet.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -26,6 +26,7 @@
 mod load_tracking;
 mod operations;
 mod outer_names;
+mod owner;
 mod placing;
 mod platform;
 mod platform_wire;
