Ask the owners of keys through the crate `owner`

Cause: the exchanges on loads and on limits each had a table of open questions, a guard that removes them and a time-out, and the peers' table the choice of the gateway. Change: all are users of `owner`. Datagrams, metrics, log lines and time-outs are the same, with two exceptions. A load answer that is repeated after the last one was awaited counts as late; before, it was merged if it came before the asker had run. Numbers of load questions and of runs are counted apart, since nothing compares them. The digest of a gateway's address is kept and no longer computed for each choice, and the gateways that count the crashes of a service are chosen in one place.

--- a/crates/gateway/src/load_query.rs
+++ b/crates/gateway/src/load_query.rs
@@ -10,15 +10,13 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
 };
 
 use clock::Millis;
+use owner::{Answered, OpenQuestions, Outcome};
 use rand::RngExt;
-use route::{
-    LoadTracker, PeerCoverage, PickRequest, Pool, RunKey, TrackedLoad, TrackedLoads,
-};
-use tokio::{net::UdpSocket, sync::Notify};
+use route::{LoadTracker, PeerCoverage, PickRequest, Pool, RunKey, TrackedLoads};
+use tokio::net::UdpSocket;
 
 use crate::{
     datagram::{Datagram, LoadAnswer, LoadQuestion, LoadReport, RunEvent},
@@ -37,16 +35,8 @@
     socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Random number of this process.
     sender: u64,
-    next_number: Cell<u64>,
-    questions: RefCell<HashMap<u64, Question>>,
-}
-
-/// A question whose answers are awaited.
-#[derive(Debug)]
-struct Question {
-    missing: usize,
-    loads: TrackedLoads,
-    answered: Rc<Notify>,
+    last_run: Cell<u64>,
+    questions: OpenQuestions<TrackedLoads>,
 }
 
 impl LoadExchange {
@@ -56,8 +46,8 @@
             tracker: RefCell::new(tracker),
             socket: RefCell::default(),
             sender: rand::rng().random(),
-            next_number: Cell::default(),
-            questions: RefCell::default(),
+            last_run: Cell::default(),
+            questions: OpenQuestions::default(),
         }
     }
 
@@ -68,37 +58,13 @@
 
     /// Returns the key of a new run.
     pub fn next_run(&self) -> RunKey {
+        let number = self.last_run.get() + 1;
+        self.last_run.set(number);
         RunKey {
             sender: self.sender,
-            number: self.next_number(),
+            number,
         }
     }
-
-    fn next_number(&self) -> u64 {
-        let number = self.next_number.get() + 1;
-        self.next_number.set(number);
-        number
-    }
-}
-
-/// Removes a question when its asker stops waiting, also because its caller left.
-struct OpenQuestion<'a> {
-    gateway: &'a Gateway,
-    number: u64,
-}
-
-impl OpenQuestion<'_> {
-    fn close(&self) -> TrackedLoads {
-        let mut questions = self.gateway.load.questions.borrow_mut();
-        let question = questions.remove(&self.number);
-        question.map_or_else(TrackedLoads::default, |question| question.loads)
-    }
-}
-
-impl Drop for OpenQuestion<'_> {
-    fn drop(&mut self) {
-        self.close();
-    }
 }
 
 impl Gateway {
@@ -131,36 +97,22 @@
         if by_tracker.is_empty() {
             return loads;
         }
-        let number = self.load.next_number();
-        let answered = Rc::new(Notify::new());
-        let question = Question {
-            missing: by_tracker.len(),
-            loads,
-            answered: answered.clone(),
-        };
-        self.load.questions.borrow_mut().insert(number, question);
-        let open = OpenQuestion {
-            gateway: self,
-            number,
-        };
+        let questions = &self.load.questions;
+        let question = questions.ask(loads, by_tracker.len(), ANSWER_TIMEOUT_MS);
         for (peer, endpoints) in by_tracker {
-            let question = LoadQuestion {
-                number,
+            let asked = LoadQuestion {
+                number: question.number(),
                 endpoints,
                 prefixes: prefixes.clone(),
             };
-            self.send_now(peer, &Datagram::LoadQuestion(question));
+            self.send_now(peer, &Datagram::LoadQuestion(asked));
         }
-        let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
-        if tokio::time::timeout(limit, answered.notified())
-            .await
-            .is_err()
-        {
-            self.stats.count("load_questions", "timeout");
-        } else {
-            self.stats.count("load_questions", "answered");
-        }
-        open.close()
+        let (loads, result) = match question.wait(tokio::time::sleep).await {
+            Outcome::Complete(loads) => (loads, "answered"),
+            Outcome::Expired(loads) => (loads, "timeout"),
+        };
+        self.stats.count("load_questions", result);
+        loads
     }
 
     /// Answers a peer's question.
@@ -180,18 +132,10 @@
 
     /// Records an answer, unless nobody waits for it any more.
     pub fn record_load_answer(&self, answer: &LoadAnswer) {
-        let mut questions = self.load.questions.borrow_mut();
-        let Some(question) = questions.get_mut(&answer.number) else {
-            self.stats.count("load_questions", "late_answer");
-            return;
-        };
         let loads = answer.loads.iter().copied();
-        question
-            .loads
-            .extend::<Vec<(u64, TrackedLoad)>>(loads.collect());
-        question.missing = question.missing.saturating_sub(1);
-        if question.missing == 0 {
-            question.answered.notify_one();
+        let add = |known: &mut TrackedLoads| known.extend(loads);
+        if self.load.questions.answer(answer.number, add) == Answered::Late {
+            self.stats.count("load_questions", "late_answer");
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,9 +7,8 @@
 };
 
 use clock::Millis;
-use route::{
-    DispatchNotice, DrainNotice, PeerCoverage, digest_text, rendezvous_weight,
-};
+use owner::Member;
+use route::{DispatchNotice, DrainNotice, PeerCoverage};
 use store::LogPosition;
 
 use crate::datagram::{
@@ -42,13 +41,12 @@
 /// before the next status.
 const UPDATE_MIN_TOKENS: u32 = 500;
 
-/// Returns the weight of a gateway as the tracker of an endpoint.
-fn weight(gateway: SocketAddr, endpoint_digest: u64) -> u64 {
-    rendezvous_weight(digest_text(&gateway.to_string()), endpoint_digest)
-}
+/// Time for which a peer counts as part of the fleet after it was heard, ms.
+const FLEET_MEMBER_MS: u64 = 20_000;
 
 #[derive(Debug)]
 struct Peer {
+    member: Member,
     configured: bool,
     /// Time at which its last status arrived.
     last_heard: Option<Millis>,
@@ -60,7 +58,7 @@
 /// All known peers, in address order.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    own: Option<SocketAddr>,
+    own: Option<Member>,
     peers: BTreeMap<SocketAddr, Peer>,
     /// Number of statuses sent; selects the next receivers.
     round: usize,
@@ -76,7 +74,7 @@
     /// Creates a table of the peers in the settings, without their statuses.
     pub fn new(own: SocketAddr, configured: &[SocketAddr]) -> Self {
         let mut peers = Peers {
-            own: Some(own),
+            own: Some(Member::new(own)),
             ..Peers::default()
         };
         for address in configured {
@@ -86,12 +84,13 @@
     }
 
     fn add(&mut self, address: SocketAddr, configured: bool, now: Millis) {
-        let is_own = self.own == Some(address);
+        let is_own = self.own_address() == Some(address);
         let fits = configured || self.peers.len() < PEERS_MAX;
         if is_own || !fits || self.peers.contains_key(&address) {
             return;
         }
         let peer = Peer {
+            member: Member::new(address),
             configured,
             last_heard: None,
             discovered: now,
@@ -199,16 +198,22 @@
         missed_ms.max(FRESH_MIN_MS)
     }
 
+    /// Returns the peers whose status is not too old to be used.
+    fn fresh_peers(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        let fresh_ms = self.fresh_ms();
+        self.peers.values().filter(move |peer| {
+            peer.last_heard
+                .is_some_and(|heard| now.since(heard) <= fresh_ms)
+        })
+    }
+
     /// Returns the statuses that are not too old to be used, with their senders.
     pub fn fresh_statuses(
         &self,
         now: Millis,
     ) -> impl Iterator<Item = (SocketAddr, &PeerStatus)> {
-        let fresh_ms = self.fresh_ms();
-        self.peers.iter().filter_map(move |(address, peer)| {
-            let heard = peer.last_heard?;
-            (now.since(heard) <= fresh_ms).then_some((*address, &peer.status))
-        })
+        self.fresh_peers(now)
+            .map(|peer| (peer.member.address(), &peer.status))
     }
 
     /// Returns the last statuses of all peers that were heard within `age_ms`.
@@ -259,16 +264,15 @@
             .fresh_statuses(now)
             .filter(|(_, status)| status.can_read_log);
         let lowest = readers.map(|(address, _)| address).min();
-        self.own
+        self.own_address()
             .is_some_and(|own| lowest.is_none_or(|lowest| own < lowest))
     }
 
     /// Returns the gateway that tracks an endpoint, given by the digest of its id;
     /// `None` if it is this one. Gateways that hear the same peers agree on it.
     pub fn tracker(&self, endpoint_digest: u64, now: Millis) -> Option<SocketAddr> {
-        let weighted = self.weighted(endpoint_digest, now);
-        let chosen = weighted.max_by_key(|(weight, _)| *weight);
-        chosen.and_then(|(_, tracker)| tracker)
+        let tracker = owner::owner(self.members(now), endpoint_digest);
+        tracker.filter(|tracker| self.own_address() != Some(*tracker))
     }
 
     /// Returns the first `count` gateways in the order in which they would track `key`,
@@ -279,23 +283,29 @@
         count: usize,
         now: Millis,
     ) -> Vec<Option<SocketAddr>> {
-        let mut weighted: Vec<_> = self.weighted(key, now).collect();
-        weighted.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        let gateways = weighted.into_iter().map(|(_, gateway)| gateway);
-        gateways.take(count).collect()
+        let trackers = owner::owners(self.members(now), key, count).into_iter();
+        let peer_of =
+            |tracker| (self.own_address() != Some(tracker)).then_some(tracker);
+        trackers.map(peer_of).collect()
     }
 
-    /// Returns this gateway, as `None`, and all that were heard recently, with their
-    /// weights for `key`.
-    fn weighted(
-        &self,
-        key: u64,
-        now: Millis,
-    ) -> impl Iterator<Item = (u64, Option<SocketAddr>)> {
-        let own = self.own.map(|address| (weight(address, key), None));
-        let peers = self.fresh_statuses(now).map(|(address, _)| address);
-        let peers = peers.map(move |peer| (weight(peer, key), Some(peer)));
-        own.into_iter().chain(peers)
+    /// Returns the fraction of the fleet, 0 to 1, that this gateway hears. A gateway that
+    /// grants for others grants this part of the whole, since gateways that it does not
+    /// hear may ask another one.
+    pub fn heard_fraction(&self, now: Millis) -> f64 {
+        let heard = self.fresh_peers(now).count() + 1;
+        let fleet = self.heard_within(FLEET_MEMBER_MS, now).count() + 1;
+        owner::heard_fraction(heard, fleet)
+    }
+
+    /// Returns this gateway and all that were heard recently, which may own keys.
+    fn members(&self, now: Millis) -> impl Iterator<Item = Member> {
+        let peers = self.fresh_peers(now).map(|peer| peer.member);
+        self.own.into_iter().chain(peers)
+    }
+
+    fn own_address(&self) -> Option<SocketAddr> {
+        self.own.map(|own| own.address())
     }
 
     /// Returns the addresses of all known peers.
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -30,7 +30,6 @@
 pub(crate) use components::{Components, RequestContent, RequestTrace};
 pub(crate) use decisions::evaluate;
 pub(crate) use records::run as record;
-use reports::COUNTERS;
 
 use crate::{
     caller_request::CallerRequest,
@@ -151,8 +150,7 @@
     ) {
         let components: ComponentSet = notice.components.iter().copied().collect();
         if notice.state == QuarantineState::Lifted {
-            let counters = self.peers.borrow().trackers(notice.service, COUNTERS, now);
-            if counters.contains(&Some(from)) {
+            if self.counters(notice.service, now).contains(&Some(from)) {
                 self.lift_components(&components, "peer");
             }
             return;
--- a/crates/gateway/src/quarantine/reports.rs
+++ b/crates/gateway/src/quarantine/reports.rs
@@ -14,7 +14,7 @@
 };
 
 /// Number of gateways that count the crashes of a service, so that one of them may fail.
-pub(super) const COUNTERS: usize = 2;
+const COUNTERS: usize = 2;
 
 /// Maximum number of services whose crashes are counted here, since reports are not
 /// authenticated.
@@ -134,16 +134,24 @@
 
     /// Sends a datagram to the other gateways that count the crashes of a service.
     pub(super) fn tell_counters(&self, service: u64, datagram: &Datagram, now: Millis) {
-        let counters = self.peers.borrow().trackers(service, COUNTERS, now);
-        for counter in counters.into_iter().flatten() {
+        for counter in self.counters(service, now).into_iter().flatten() {
             self.send_now(counter, datagram);
         }
     }
 
     /// Whether this gateway counts the crashes of a service.
     pub(super) fn is_counter(&self, service: u64, now: Millis) -> bool {
-        let peers = self.peers.borrow();
-        peers.trackers(service, COUNTERS, now).contains(&None)
+        self.counters(service, now).contains(&None)
+    }
+
+    /// Returns the gateways that count the crashes of a service; `None` stands for this
+    /// one.
+    pub(super) fn counters(
+        &self,
+        service: u64,
+        now: Millis,
+    ) -> Vec<Option<SocketAddr>> {
+        self.peers.borrow().trackers(service, COUNTERS, now)
     }
 
     /// Records a report of `from`; `None` stands for this gateway.
--- a/crates/gateway/src/request_limits.rs
+++ b/crates/gateway/src/request_limits.rs
@@ -3,18 +3,13 @@
 //! The gateway that tracks an endpoint grants the requests to it. A gateway that gets no
 //! answer sends nothing there: other endpoints take the request, or it is refused.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{cell::RefCell, net::SocketAddr};
 
 use clock::Millis;
 use log::info;
+use owner::{Answered, OpenQuestions, Outcome};
 use platform::NamedLimit;
 use route::{Permit, RequestBudgets};
-use tokio::sync::oneshot;
 
 use crate::{
     attempt::InFlight,
@@ -33,9 +28,6 @@
 /// ms, since it may take more again before.
 const DENIED_PAUSE_MAX_MS: u64 = 2_000;
 
-/// Time for which a peer counts as part of the fleet after it was heard, ms.
-const FLEET_MEMBER_MS: u64 = 20_000;
-
 /// Number of the thousandths in which limits are exchanged, per request.
 const MILLIS_PER_REQUEST: f64 = 1_000.0;
 
@@ -43,20 +35,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct LimitExchange {
     budgets: RefCell<RequestBudgets>,
-    next_number: Cell<u64>,
-    questions: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
-}
-
-/// Removes a question when its asker stops waiting, also because its caller left.
-struct OpenQuestion<'a> {
-    exchange: &'a LimitExchange,
-    number: u64,
-}
-
-impl Drop for OpenQuestion<'_> {
-    fn drop(&mut self) {
-        self.exchange.questions.borrow_mut().remove(&self.number);
-    }
+    questions: OpenQuestions<Option<Permit>>,
 }
 
 impl Gateway {
@@ -167,32 +146,22 @@
     /// Grants a request for which this gateway is responsible, in the part of the
     /// fleet that it hears: gateways that it does not hear may have another.
     fn grant(&self, endpoint: u64, per_s: f64, now: Millis) -> Permit {
-        let part = {
-            let peers = self.peers.borrow();
-            let fresh = peers.fresh_statuses(now).count() + 1;
-            let all = peers.heard_within(FLEET_MEMBER_MS, now).count() + 1;
-            fresh as f64 / all.max(fresh) as f64
-        };
+        let part = self.peers.borrow().heard_fraction(now);
         let mut budgets = self.limits_exchange.budgets.borrow_mut();
         budgets.take(endpoint, per_s, part, now)
     }
 
     async fn ask_permit(&self, peer: SocketAddr, endpoint: u64, per_s: f64) -> Permit {
-        let exchange = &self.limits_exchange;
-        let number = exchange.next_number.get() + 1;
-        exchange.next_number.set(number);
-        let (sender, answer) = oneshot::channel();
-        exchange.questions.borrow_mut().insert(number, sender);
-        let _open = OpenQuestion { exchange, number };
-        let question = LimitQuestion {
-            number,
+        let questions = &self.limits_exchange.questions;
+        let question = questions.ask(None, 1, ANSWER_TIMEOUT_MS);
+        let asked = LimitQuestion {
+            number: question.number(),
             limit: LimitNotice::new(endpoint, Some(per_s)),
         };
-        self.send_now(peer, &Datagram::LimitQuestion(question));
-        let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
-        match tokio::time::timeout(limit, answer).await {
-            Ok(Ok(permit)) => permit,
-            Ok(Err(_)) | Err(_) => {
+        self.send_now(peer, &Datagram::LimitQuestion(asked));
+        match question.wait(tokio::time::sleep).await {
+            Outcome::Complete(Some(permit)) => permit,
+            Outcome::Complete(None) | Outcome::Expired(_) => {
                 self.stats.count("limited_requests", "unanswered");
                 Permit::DeniedFor(UNANSWERED_PAUSE_MS)
             }
@@ -220,16 +189,13 @@
 
     /// Records an answer, unless nobody waits for it any more.
     pub fn record_limit_answer(&self, answer: &LimitAnswer) {
-        let mut questions = self.limits_exchange.questions.borrow_mut();
-        let Some(asker) = questions.remove(&answer.number) else {
-            self.stats.count("limited_requests", "late_answer");
-            return;
-        };
         let permit = match answer.wait_ms {
             0 => Permit::Granted,
             wait_ms => Permit::DeniedFor(wait_ms.into()),
         };
-        if asker.send(permit).is_err() {
+        let questions = &self.limits_exchange.questions;
+        let answered = questions.answer(answer.number, |held| *held = Some(permit));
+        if answered == Answered::Late {
             self.stats.count("limited_requests", "late_answer");
         }
     }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -12,7 +12,9 @@
 //! - [`heard_fraction`] bounds what an owner may grant: the parts of a fleet that is cut
 //!   have an owner each.
 //!
-//! The crate does no I/O. The caller sends the datagrams, and passes in the timer:
+//! The crate does no I/O. The caller sends the datagrams, and passes in the timer. The
+//! smallest user is `ask_permit` in `crates/gateway/src/request_limits.rs`: the gateway's
+//! `Peers::tracker` gives the owner of a key, and `Peers::heard_fraction` the fraction.
 //!
 //! ```
 //! use owner::{Answered, Member, OpenQuestions, Outcome, owner};
