Test gateways whose owner of a limit is killed or cut off

Cause: that a fleet keeps to a limit when its owner is lost or cut off was only tested with budgets without a network. Change: four gateway processes ask the owner of a limit of 20 a second; it is killed, the fleet is cut into halves, or the owner is cut off from two gateways whose next owner still hears it. Paths of datagrams in tests can be cut.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -27,6 +27,7 @@
 mod operations;
 mod outer_names;
 mod owner;
+mod owner_failure;
 mod placing;
 mod platform;
 mod platform_wire;
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod cluster;
 pub mod crash_fleet;
+pub mod datagram_path;
 pub mod endpoints;
 pub mod gateway_harness;
 pub mod process;
