--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -27,6 +27,8 @@
 mod load_tracking;
 mod operations;
 mod outer_names;
+mod owner;
+mod owner_failure;
 mod placing;
 mod platform;
 mod platform_wire;
