Grant the requests to endpoints that warm up

Cause: an endpoint that has just started or come back is idle, so every gateway sends to it at once; it tolerates a few requests a second for some seconds. Peers are told by a datagram of its own. An attempt asks for grants for 60 ms at most, then goes to an endpoint that needs none; before, it was refused after four denied ones.

--- a/crates/catalog/src/service.rs
+++ b/crates/catalog/src/service.rs
@@ -25,6 +25,11 @@
     pub engine_memory_tokens: u64,
     /// Models that the engines serve; empty for a plain service.
     pub models: Vec<PricedModel>,
+    /// Time for which an endpoint that came back is cold, ms.
+    pub cold_ms: u64,
+    /// Requests a second that a cold endpoint takes from all gateways together; zero if
+    /// its endpoints need no warm-up.
+    pub cold_per_s: f64,
 }
 
 /// Limits on the size and duration of the requests of callers.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -193,6 +193,7 @@
         self.is_settled.set(true);
         if sample == HealthSample::Unreachable {
             self.gateway.report_crash(self);
+            self.gateway.record_unreachable(&self.pick.endpoint);
         }
         self.add_health(sample, reason);
     }
@@ -393,7 +394,7 @@
         KeptOutcome::Answered(answered) => return Ok(*answered),
         KeptOutcome::NotTried => {}
         KeptOutcome::Stale | KeptOutcome::Lost => {
-            may_send_again(gateway, req, in_flight)?
+            may_send_again(gateway, req, in_flight).await?
         }
     }
     let sent = send_on_new(gateway, req, in_flight, &extra).await;
@@ -405,8 +406,9 @@
 }
 
 /// Charges the retry of a request that may have arrived on a kept connection; fails if
-/// there is none left, the endpoint takes no request, or this one is held back.
-fn may_send_again(
+/// there is none left, the endpoint takes no request or does not get another one while
+/// it warms up, or this one is held back.
+async fn may_send_again(
     gateway: &Gateway,
     req: &CallerRequest,
     in_flight: &InFlight,
@@ -419,7 +421,11 @@
             && pool.limit_of(&endpoint.id).is_none()
     };
     let is_held = gateway.held_until(req).is_some();
-    if takes_requests && !is_held && gateway.try_retry(&endpoint.service) {
+    if takes_requests
+        && !is_held
+        && gateway.try_retry(&endpoint.service)
+        && gateway.may_send(&endpoint.id).await
+    {
         Ok(())
     } else {
         Err(Failure::MayHaveRun("kept_link_lost"))
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -8,7 +8,8 @@
 //! Datagrams are not authenticated, so their values are bounded. They can change
 //! load predictions, set the version of a session, halt or end a rollout, make this
 //! gateway prefer other endpoints for some seconds, keep it from using failure domains
-//! while it cannot read the log itself, make it fetch a newer configuration, or hold back requests for some seconds whose content no recent answer
+//! while it cannot read the log itself, slow it down at an endpoint for the time of a
+//! warm-up, make it fetch a newer configuration, or hold back requests for some seconds whose content no recent answer
 //! had; they never change what a request may do.
 
 use std::net::SocketAddr;
@@ -43,6 +44,9 @@
 /// Maximum number of limits in one datagram.
 pub(crate) const LIMITS_MAX: usize = 64;
 
+/// Maximum number of warm-ups in one datagram.
+pub(crate) const WARMUPS_MAX: usize = 32;
+
 /// Maximum number of components of a request that may be held responsible for a crash.
 pub(crate) const COMPONENTS_MAX: usize = 32;
 
@@ -137,6 +141,8 @@
     Quarantine(QuarantineNotice),
     /// Tells of answers that show a suspicion to be wrong.
     Sound(SoundNotice),
+    /// Tells of endpoints that are warming up.
+    Warmups(Vec<WarmupNotice>),
 }
 
 /// A request that its endpoint cut off, for the gateways that count crashes.
@@ -224,6 +230,32 @@
     pub number: u64,
     /// The limit, which the receiver may not have heard of.
     pub limit: LimitNotice,
+    /// Thousandths of a request a second at which the endpoint warms up, if it does.
+    pub warmup_milli_per_s: Option<u64>,
+}
+
+/// An endpoint that is warming up.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WarmupNotice {
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// Start time of the incarnation, ms since the Unix epoch.
+    pub born_ms: u64,
+    /// Time left, ms.
+    pub left_ms: u64,
+    /// Why the sender believes it.
+    pub reason: WarmupReason,
+}
+
+/// Why a peer says that an endpoint is warming up.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum WarmupReason {
+    /// The endpoint said so in a response.
+    Reported,
+    /// It cannot be reached, or its failure domain was evacuated.
+    Assumed,
+    /// It answers again after it could not be reached.
+    Returned,
 }
 
 /// Grants one request, or does not.
@@ -380,6 +412,7 @@
             RunEvent::PrefillEnded | RunEvent::Ended => true,
         },
         Datagram::Limits(limits) => limits.len() <= LIMITS_MAX,
+        Datagram::Warmups(notices) => notices.len() <= WARMUPS_MAX,
         Datagram::LimitQuestion(_) | Datagram::LimitAnswer(_) => true,
         Datagram::Crashed(_) => true,
         Datagram::Cut(report) => {
--- a/crates/gateway/src/endpoint_state.rs
+++ b/crates/gateway/src/endpoint_state.rs
@@ -1,12 +1,12 @@
 //! What endpoints say about themselves in their responses: that they are draining,
-//! that they want no requests for some time, or how many they take.
+//! that they want no requests for some time, how many they take, or that they are cold.
 
 use std::rc::Rc;
 
 use clock::Clock;
 use http::{HeaderMap, StatusCode};
 use log::{info, warn};
-use platform::{NamedLimit, RetryAfter};
+use platform::{ColdTime, NamedLimit, RetryAfter};
 
 use crate::{attempt::InFlight, state::Gateway};
 
@@ -32,6 +32,7 @@
     if is_own {
         gateway.record_named_limit(in_flight, NamedLimit::from_headers(headers));
     }
+    gateway.record_answer_warmup(in_flight, ColdTime::from_headers(headers));
     if gateway.names.is_draining(headers) {
         record_draining(gateway, in_flight);
     }
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -61,10 +61,13 @@
                     );
                     self.stats.add_domain(&domain);
                 }
-                None => info!(
-                    "event=evacuation_ended domain={domain} endpoints={}",
-                    pool.count_in_domain(digest)
-                ),
+                None => {
+                    pool.record_readmission(digest, now);
+                    info!(
+                        "event=evacuation_ended domain={domain} endpoints={}",
+                        pool.count_in_domain(digest)
+                    );
+                }
             }
         }
     }
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -110,6 +110,7 @@
         }
         gateway.idle_connections.borrow_mut().expire(now);
         gateway.apply_evacuations(now);
+        gateway.log_warmups(now);
         let expired = gateway.pool.borrow_mut().expire(now);
         for id in expired {
             info!("event=endpoint_gone endpoint={id} reason=lapsed");
@@ -257,7 +258,13 @@
         endpoint.born_ms,
     );
     let announced = AnnouncedAt { epoch, sequence };
-    if gateway.pool.borrow_mut().announce(endpoint, announced) {
+    let changed = {
+        let mut pool = gateway.pool.borrow_mut();
+        let changed = pool.announce(endpoint, announced);
+        pool.record_announcement_read(id, gateway.now());
+        changed
+    };
+    if changed {
         info!("event=endpoint endpoint={id} count={sequence} {line}");
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -69,6 +69,7 @@
     let status = build_status(gateway, incarnation_ms, sequence);
     send(gateway, socket, &Datagram::Status(status), vec![peer]).await;
     gateway.announce_known_limits();
+    gateway.announce_known_warmups(peer);
     gateway.tell_quarantines(peer);
 }
 
@@ -130,6 +131,7 @@
         Datagram::LoadAnswer(answer) => gateway.record_load_answer(answer),
         Datagram::LoadReport(report) => gateway.record_load_report(report, now),
         Datagram::Limits(notices) => gateway.record_peer_limits(notices, now),
+        Datagram::Warmups(notices) => gateway.record_peer_warmups(notices, now),
         Datagram::LimitQuestion(question) => {
             gateway.answer_limit_question(from, question, now);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod rollouts;
 mod state;
 mod stats;
+mod warmup;
 
 use std::{io, net::SocketAddr, path::PathBuf, rc::Rc};
 
@@ -42,9 +43,10 @@
 };
 
 pub use datagram::{
-    CrashNotice, CutReport, Datagram, LoadAnswer, LoadQuestion, LoadReport,
-    LogPositions, PeerStatus, PeerUpdate, QuarantineNotice, QuarantineState,
-    RolloutEnd, RolloutReport, RunEvent, SoundNotice, decode_datagram,
+    CrashNotice, CutReport, Datagram, LimitNotice, LimitQuestion, LoadAnswer,
+    LoadQuestion, LoadReport, LogPositions, PeerStatus, PeerUpdate, QuarantineNotice,
+    QuarantineState, RolloutEnd, RolloutReport, RunEvent, SoundNotice, WarmupNotice,
+    WarmupReason, decode_datagram,
 };
 pub use event_framer::EventFramer;
 pub use idle_connections::idle_max;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,9 +13,13 @@
     quarantine::Hold,
 };
 
-/// Maximum number of endpoints that are picked for an attempt because those before
-/// had reached the limits that they named.
-const LIMITED_PICKS_MAX: usize = 4;
+/// Maximum number of endpoints that are asked a grant for, one after the other, before
+/// the attempt goes to one that needs none. Those that were denied are left out until
+/// their next grant, so that few requests ask that many.
+const LIMITED_PICKS_MAX: usize = 32;
+
+/// Maximum time for these questions, ms: four that are not answered.
+const LIMITED_PICKS_MS: u64 = 60;
 
 impl Dispatch {
     /// Picks an endpoint, unless the request is held back; a resumed stream requires one
@@ -35,7 +39,11 @@
             return None;
         }
         let loads = self.gateway.ask_loads(&request).await;
+        let asked = self.gateway.now();
         for _ in 0..LIMITED_PICKS_MAX {
+            if self.gateway.now().since(asked) >= LIMITED_PICKS_MS {
+                break;
+            }
             let pick = {
                 let pool = self.gateway.pool.borrow();
                 pool.pick_tracked(&request, &loads, self.gateway.now())?
@@ -49,7 +57,22 @@
                 ));
             }
         }
-        None
+        // Others may take the request at once, however many endpoints need a grant.
+        let tried = [
+            &self.tried[..],
+            &self.gateway.ids_that_need_grants(&self.req),
+        ];
+        let tried = tried.concat();
+        let request = PickRequest {
+            tried: &tried,
+            ..request
+        };
+        let pick = {
+            let pool = self.gateway.pool.borrow();
+            pool.pick_tracked(&request, &loads, self.gateway.now())?
+        };
+        let components = &self.req.components;
+        Some(InFlight::new(&self.gateway, pick, &request, components))
     }
 
     /// Returns when the first of the endpoints that asked for a pause takes this
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -220,7 +220,7 @@
     /// is new has to know.
     pub fn has_standing_notices(&self) -> bool {
         let has_limits = !self.pool.borrow().limits().is_empty();
-        has_limits || !self.quarantine.sets.borrow().is_empty()
+        has_limits || self.has_warmups() || !self.quarantine.sets.borrow().is_empty()
     }
 
     /// Tells a peer that is new all that is held back.
--- a/crates/gateway/src/request_limits.rs
+++ b/crates/gateway/src/request_limits.rs
@@ -13,7 +13,7 @@
 use clock::Millis;
 use log::info;
 use platform::NamedLimit;
-use route::{Permit, RequestBudgets};
+use route::{GrantRate, Permit, RequestBudgets, grant_rate};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -137,26 +137,35 @@
     /// Returns whether a request may be sent to the endpoint now. If not, the endpoint
     /// gets nothing from this gateway until it may.
     pub async fn may_send(&self, id: &str) -> bool {
-        let limited = {
+        let now = self.now();
+        let cold_per_s = self.cold_per_s(id, now);
+        let (limit_per_s, endpoint) = {
             let pool = self.pool.borrow();
-            pool.limit_of(id).zip(pool.digest_of(id))
+            (pool.limit_of(id), pool.digest_of(id))
         };
-        let Some((per_s, endpoint)) = limited else {
+        let Some((rate, endpoint)) = grant_rate(limit_per_s, cold_per_s).zip(endpoint)
+        else {
             return true;
         };
-        let now = self.now();
+        let counter = match cold_per_s {
+            Some(_) => "warmup_requests",
+            None => "limited_requests",
+        };
         let grants = self.peers.borrow().tracker(endpoint, now);
         let permit = match grants {
-            None => self.grant(endpoint, per_s, now),
-            Some(peer) => self.ask_permit(peer, endpoint, per_s).await,
+            None => self.grant(endpoint, rate, now),
+            Some(peer) => {
+                let limit = LimitNotice::new(endpoint, limit_per_s);
+                self.ask_permit(peer, limit, cold_per_s).await
+            }
         };
         match permit {
             Permit::Granted => {
-                self.stats.count("limited_requests", "granted");
+                self.stats.count(counter, "granted");
                 true
             }
             Permit::DeniedFor(wait_ms) => {
-                self.stats.count("limited_requests", "denied");
+                self.stats.count(counter, "denied");
                 let until = self.now().plus(wait_ms.min(DENIED_PAUSE_MAX_MS));
                 self.pool.borrow_mut().pause(id, until);
                 false
@@ -166,7 +175,7 @@
 
     /// Grants a request for which this gateway is responsible, in the part of the
     /// fleet that it hears: gateways that it does not hear may have another.
-    fn grant(&self, endpoint: u64, per_s: f64, now: Millis) -> Permit {
+    fn grant(&self, endpoint: u64, rate: GrantRate, now: Millis) -> Permit {
         let part = {
             let peers = self.peers.borrow();
             let fresh = peers.fresh_statuses(now).count() + 1;
@@ -174,10 +183,15 @@
             fresh as f64 / all.max(fresh) as f64
         };
         let mut budgets = self.limits_exchange.budgets.borrow_mut();
-        budgets.take(endpoint, per_s, part, now)
+        budgets.take_at(endpoint, rate, part, now)
     }
 
-    async fn ask_permit(&self, peer: SocketAddr, endpoint: u64, per_s: f64) -> Permit {
+    async fn ask_permit(
+        &self,
+        peer: SocketAddr,
+        limit: LimitNotice,
+        cold_per_s: Option<f64>,
+    ) -> Permit {
         let exchange = &self.limits_exchange;
         let number = exchange.next_number.get() + 1;
         exchange.next_number.set(number);
@@ -186,7 +200,9 @@
         let _open = OpenQuestion { exchange, number };
         let question = LimitQuestion {
             number,
-            limit: LimitNotice::new(endpoint, Some(per_s)),
+            limit,
+            warmup_milli_per_s: cold_per_s
+                .map(|per_s| (per_s * MILLIS_PER_REQUEST).floor() as u64),
         };
         self.send_now(peer, &Datagram::LimitQuestion(question));
         let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
@@ -206,8 +222,13 @@
         question: &LimitQuestion,
         now: Millis,
     ) {
-        let per_s = question.limit.per_s().unwrap_or_default();
-        let wait_ms = match self.grant(question.limit.endpoint, per_s, now) {
+        let cold_per_s = question
+            .warmup_milli_per_s
+            .map(|milli| milli as f64 / MILLIS_PER_REQUEST);
+        // A question that names no rate is from a stray or forged datagram.
+        let rate = grant_rate(question.limit.per_s(), cold_per_s);
+        let rate = rate.unwrap_or_else(|| GrantRate::limit(0.0));
+        let wait_ms = match self.grant(question.limit.endpoint, rate, now) {
             Permit::Granted => 0,
             Permit::DeniedFor(wait_ms) => u32::try_from(wait_ms).unwrap_or(u32::MAX),
         };
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -27,6 +27,7 @@
 mod sound_components;
 mod ticket;
 mod version;
+mod warmup;
 
 pub use admission::{Admission, AdmissionError, PoolCapacity};
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
@@ -43,7 +44,7 @@
 };
 pub use quarantine::{Grounds, Quarantine, Quarantines};
 pub use recent_count::RecentCount;
-pub use request_limit::{LIMIT_MIN_PER_S, Permit, RequestBudgets};
+pub use request_limit::{GrantRate, LIMIT_MIN_PER_S, Permit, RequestBudgets};
 pub use retry::RetryBudget;
 pub use rollout::{GateDecision, GateSample, GateSettings, RolloutGate};
 pub use rollout_statuses::RolloutStatuses;
@@ -65,3 +66,4 @@
     ModelSelector, SelectionError, Session, VersionChoice, choose_version,
     parse_model_selector,
 };
+pub use warmup::{Warmup, WarmupGrounds, WarmupRule, grant_rate};
--- a/crates/route/src/pool/discovery.rs
+++ b/crates/route/src/pool/discovery.rs
@@ -89,6 +89,7 @@
         }
         stats.unlisted = false;
         stats.announced = announced;
+        stats.warmup.announce(endpoint.warmup_left_ms);
         let state = match stats.endpoint.state {
             EndpointState::Draining => EndpointState::Draining,
             EndpointState::Ready => endpoint.state,
--- a/crates/route/src/pool/endpoint_stats.rs
+++ b/crates/route/src/pool/endpoint_stats.rs
@@ -9,7 +9,7 @@
     AnnouncedAt, Costs, PickRequest,
     prefix::{digest_text, mix, salted, shared_prefix},
 };
-use crate::{health::Health, load_tracker::TrackedLoad};
+use crate::{health::Health, load_tracker::TrackedLoad, warmup::Warmup};
 
 /// Assumed service time of a request to a plain (non-engine) service, ms.
 const PLAIN_SERVICE_MS: f64 = 20.0;
@@ -79,12 +79,15 @@
     /// End of the time for which a peer's notice that the endpoint is draining is
     /// believed.
     pub peer_draining_until: Millis,
+    pub warmup: Warmup,
 }
 
 impl EndpointStats {
     pub fn new(endpoint: Endpoint, announced: AnnouncedAt) -> Self {
         let id_digest = digest_text(&endpoint.id);
         let domain_digest = digest_text(&endpoint.failure_domain);
+        let mut warmup = Warmup::default();
+        warmup.announce(endpoint.warmup_left_ms);
         EndpointStats {
             endpoint,
             health: Health::default(),
@@ -102,6 +105,7 @@
             limit_per_s: None,
             limit_learned: Millis::default(),
             peer_draining_until: Millis::default(),
+            warmup,
         }
     }
 
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -29,7 +29,11 @@
 use endpoint_stats::Load;
 pub(crate) use endpoint_stats::PREFIX_TTL_MS;
 
-use crate::{health::HealthSample, load_tracker::TrackedLoad};
+use crate::{
+    health::HealthSample,
+    load_tracker::TrackedLoad,
+    warmup::{Warmup, WarmupGrounds, WarmupRule},
+};
 
 /// Loads that trackers told, by the digest of the endpoint's id.
 pub type TrackedLoads = HashMap<u64, TrackedLoad>;
@@ -407,6 +411,83 @@
         true
     }
 
+    /// Returns the warm-up of `id`, if it is the incarnation `born_ms`.
+    pub fn warmup_mut(&mut self, id: &str, born_ms: u64) -> Option<&mut Warmup> {
+        let stats = self.endpoints.get_mut(id)?;
+        (stats.endpoint.born_ms == born_ms).then_some(&mut stats.warmup)
+    }
+
+    /// Records that the announcement of `id` was read at `now`.
+    pub fn record_announcement_read(&mut self, id: &str, now: Millis) {
+        if let Some(stats) = self.endpoints.get_mut(id) {
+            stats.warmup.record_announcement_read(now);
+        }
+    }
+
+    /// Records that the evacuation of the failure domain with this digest was withdrawn.
+    pub fn record_readmission(&mut self, domain_digest: u64, now: Millis) {
+        let there = self.endpoints.values_mut();
+        for stats in there.filter(|stats| stats.domain_digest == domain_digest) {
+            stats.warmup.record_readmission(now);
+        }
+    }
+
+    /// Returns whether `id` counts as warming by the rule of its service.
+    pub fn is_warming(&self, id: &str, rule: WarmupRule, now: Millis) -> bool {
+        let stats = self.endpoints.get(id);
+        stats.is_some_and(|stats| stats.warmup.grounds(rule, now).is_some())
+    }
+
+    /// Returns the warming endpoints, with the time left by their own responses and the
+    /// time left in all, ms. `rule_of` gives the rule of a service.
+    pub fn warming<F>(&self, rule_of: F, now: Millis) -> Vec<(&Endpoint, u64, u64)>
+    where
+        F: Fn(&str) -> WarmupRule,
+    {
+        let warming = self.endpoints.values().filter_map(|stats| {
+            let rule = rule_of(&stats.endpoint.service);
+            let (_, until) = stats.warmup.grounds(rule, now)?;
+            let reported_left_ms = stats.warmup.reported_left_ms(now);
+            Some((&stats.endpoint, reported_left_ms, until.since(now)))
+        });
+        warming.collect()
+    }
+
+    /// Returns the endpoints that began to count as warming since the last call, with the
+    /// reason and the time left, ms, and those that no longer do.
+    pub fn warmup_changes<F>(
+        &mut self,
+        rule_of: F,
+        now: Millis,
+    ) -> Vec<(&str, Option<(WarmupGrounds, u64)>)>
+    where
+        F: Fn(&str) -> WarmupRule,
+    {
+        let changed = self.endpoints.values_mut().filter_map(|stats| {
+            let rule = rule_of(&stats.endpoint.service);
+            let warming = stats.warmup.grounds(rule, now);
+            if warming.is_some() == stats.warmup.is_logged {
+                return None;
+            }
+            stats.warmup.is_logged = warming.is_some();
+            let warming = warming.map(|(grounds, until)| (grounds, until.since(now)));
+            Some((stats.endpoint.id.as_str(), warming))
+        });
+        changed.collect()
+    }
+
+    /// Returns the ids of the endpoints of `service` for which `needs_grant` holds.
+    pub fn ids_where<F>(&self, service: &str, needs_grant: F) -> Vec<String>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let of_service = self.endpoints.values().map(|stats| &stats.endpoint);
+        of_service
+            .filter(|endpoint| endpoint.service == service && needs_grant(&endpoint.id))
+            .map(|endpoint| endpoint.id.clone())
+            .collect()
+    }
+
     /// Records that the incarnation `born_ms` of `id` said that it is draining;
     /// returns the notice for the other gateways if this was not known.
     pub fn record_draining(&mut self, id: &str, born_ms: u64) -> Option<DrainNotice> {
--- a/crates/route/src/request_limit.rs
+++ b/crates/route/src/request_limit.rs
@@ -33,6 +33,41 @@
 /// Lowest limit that is kept, requests a second; a lower one counts as this.
 pub const LIMIT_MIN_PER_S: f64 = 0.01;
 
+/// Rate at which requests to an endpoint are granted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GrantRate {
+    per_s: f64,
+    /// Time whose requests may follow each other at once, s.
+    burst_s: f64,
+}
+
+impl GrantRate {
+    /// The rate for an endpoint that named `per_s`.
+    pub fn limit(per_s: f64) -> Self {
+        GrantRate {
+            per_s: per_s.max(LIMIT_MIN_PER_S) * USED_FRACTION,
+            burst_s: BURST_S,
+        }
+    }
+
+    /// The rate for an endpoint that tolerates `per_s` while it is cold: all of it, with
+    /// the smallest burst.
+    pub fn warmup(per_s: f64) -> Self {
+        GrantRate {
+            per_s: per_s.max(LIMIT_MIN_PER_S),
+            burst_s: 0.0,
+        }
+    }
+
+    /// The lower one of two rates and bursts.
+    pub fn lower(self, other: Self) -> Self {
+        GrantRate {
+            per_s: self.per_s.min(other.per_s),
+            burst_s: self.burst_s.min(other.burst_s),
+        }
+    }
+}
+
 /// Answer to a question for one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Permit {
@@ -67,7 +102,20 @@
         part: f64,
         now: Millis,
     ) -> Permit {
-        let rate = per_s.max(LIMIT_MIN_PER_S) * USED_FRACTION * part.clamp(0.01, 1.0);
+        self.take_at(endpoint, GrantRate::limit(per_s), part, now)
+    }
+
+    /// Like [`RequestBudgets::take`], at any rate. The budget of an endpoint is the same
+    /// for all its rates.
+    pub fn take_at(
+        &mut self,
+        endpoint: u64,
+        rate: GrantRate,
+        part: f64,
+        now: Millis,
+    ) -> Permit {
+        let burst_s = rate.burst_s;
+        let rate = rate.per_s * part.clamp(0.01, 1.0);
         if !self.has_room(endpoint, now) {
             return Permit::DeniedFor(BUDGET_EXPIRY_MS);
         }
@@ -76,7 +124,7 @@
             updated: now,
         });
         let elapsed_s = now.since(budget.updated) as f64 / 1_000.0;
-        let most = (rate * BURST_S).max(BURST_MIN);
+        let most = (rate * burst_s).max(BURST_MIN);
         budget.available = (budget.available + elapsed_s * rate).min(most);
         budget.updated = now;
         if budget.available >= 1.0 {
--- a/crates/standin/src/scripted_endpoint.rs
+++ b/crates/standin/src/scripted_endpoint.rs
@@ -134,6 +134,7 @@
     received: Vec<ReceivedRequest>,
     draining: bool,
     limit_per_s: Option<String>,
+    cold_ms: Option<String>,
     crash: Option<Crash>,
     crash_count: usize,
     /// Whether the endpoint has crashed for good.
@@ -181,7 +182,13 @@
         let draining = if self.draining { DRAINING } else { "" };
         let limit = self.limit_per_s.as_ref();
         let limit = limit.map(|per_s| format!("server-limit: {per_s}\r\n"));
-        format!("{draining}{}", limit.unwrap_or_default())
+        let cold = self.cold_ms.as_ref();
+        let cold = cold.map(|left_ms| format!("x-cold-ms: {left_ms}\r\n"));
+        format!(
+            "{draining}{}{}",
+            limit.unwrap_or_default(),
+            cold.unwrap_or_default()
+        )
     }
 }
 
@@ -263,6 +270,12 @@
         self.lock().limit_per_s = per_s.map(str::to_owned);
     }
 
+    /// Makes all further responses say that the endpoint is cold for this many
+    /// milliseconds; `None` makes them say nothing of it.
+    pub fn set_cold(&self, left_ms: Option<&str>) {
+        self.lock().cold_ms = left_ms.map(str::to_owned);
+    }
+
     /// Makes the endpoint crash on requests to which `trigger` applies: it writes the
     /// head of a stream, then closes all its connections, and each new one for `down`.
     pub fn crash_on(&self, trigger: Trigger, down: Duration) {
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -47,6 +47,7 @@
             Some(Datagram::Status(status)) => {
                 prop_assert!(status.peers.len() <= 16 && status.rollouts.len() <= 2);
                 prop_assert!(status.endpoint_load.len() <= 48);
+                prop_assert!(status.evacuated.len() <= 16);
             }
             Some(Datagram::Update(update)) => prop_assert!(update.dispatches.len() <= 32),
             Some(Datagram::LoadQuestion(question)) => {
@@ -65,6 +66,7 @@
                 prop_assert!(notice.components.len() <= 32);
             }
             Some(Datagram::Sound(notice)) => prop_assert!(notice.components.len() <= 32),
+            Some(Datagram::Warmups(notices)) => prop_assert!(notices.len() <= 32),
             Some(
                 Datagram::Crashed(_)
                 | Datagram::LimitQuestion(_)
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -42,4 +42,5 @@
 mod telemetry;
 mod unframed_answer;
 mod upgrade;
+mod warmup;
 mod wire;
