--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -44,4 +44,5 @@
 mod telemetry;
 mod unframed_answer;
 mod upgrade;
+mod warmup;
 mod wire;
