--- a/tests/util/gateway_harness.rs
+++ b/tests/util/gateway_harness.rs
@@ -126,6 +126,17 @@
         }
     }
 
+    /// Returns the value of a metric, given with its label; zero if it is not there.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let get = "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n";
+        let text = send(self.metrics, get).await.text;
+        let value = text.lines().find_map(|line| {
+            let (key, value) = line.trim_end().rsplit_once(' ')?;
+            (key == name).then_some(value)
+        });
+        value.map_or(0, |value| value.parse().expect("a whole number"))
+    }
+
     /// Returns the largest amount of memory that the process has used so far, KiB.
     pub fn memory_peak_kib(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
