Tell gateways without the log of cold restarted endpoints

Cause: a gateway that cannot read the log takes a new incarnation, which is cold, for the one that it knows, and sends to it without a grant. Change: the gateway that records rollouts tells the peers that cannot read the log of endpoints that announce to be cold; a notice on a later incarnation than the known one counts.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -264,6 +264,7 @@
         pool.record_announcement_read(id, gateway.now());
         changed
     };
+    gateway.tell_announced_warmup(id);
     if changed {
         info!("event=endpoint endpoint={id} count={sequence} {line}");
     }
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -104,6 +104,28 @@
         }
     }
 
+    /// Tells the peers that cannot read the log that an endpoint announced to be cold:
+    /// they would take a new incarnation for the one that they know. One gateway does so
+    /// for all.
+    pub fn tell_announced_warmup(&self, id: &str) {
+        let now = self.now();
+        let endpoint = self.pool.borrow().get(id).cloned();
+        let Some(endpoint) = endpoint.filter(|e| e.warmup_left_ms > 0) else {
+            return;
+        };
+        let peers = self.peers.borrow();
+        if !peers.is_leader(now) {
+            return;
+        }
+        let left_ms = endpoint.warmup_left_ms;
+        let notice = WarmupNotice::new(&endpoint, left_ms, WarmupReason::Reported);
+        let datagram = Datagram::Warmups(vec![notice]);
+        let unable = peers.fresh_statuses(now).filter(|(_, s)| !s.can_read_log);
+        for (peer, _) in unable {
+            self.send_now(peer, &datagram);
+        }
+    }
+
     /// Whether any endpoint is warming up.
     pub fn has_warmups(&self) -> bool {
         let pool = self.pool.borrow();
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -411,10 +411,11 @@
         true
     }
 
-    /// Returns the warm-up of `id`, if it is the incarnation `born_ms`.
+    /// Returns the warm-up of `id`, if the incarnation `born_ms` is the known one, or a
+    /// later one, which then has the address.
     pub fn warmup_mut(&mut self, id: &str, born_ms: u64) -> Option<&mut Warmup> {
         let stats = self.endpoints.get_mut(id)?;
-        (stats.endpoint.born_ms == born_ms).then_some(&mut stats.warmup)
+        (stats.endpoint.born_ms <= born_ms).then_some(&mut stats.warmup)
     }
 
     /// Records that the announcement of `id` was read at `now`.
