Keep a plain request that its endpoint only queues

An attempt of an idempotent request to a plain endpoint was given up after half of its objective without an answer, also if the endpoint answered others and had only queued it. The retry lost the place in the queue, and the caller got 502 since nobody knew whether the first attempt had run.

The attempt now waits as long as the endpoint sends data for other requests, as attempts of streams already did. A lost connection no longer counts as data, so an endpoint that answers nobody is still given up.

tests/admission_queue.rs: the queued request got 502 before and gets 200 now, with one attempt; an endpoint that falls silent is given up; refused requests get 503 with Retry-After, and 502 only if an attempt may have run.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -325,7 +325,7 @@
             }
         }
     };
-    if !matches!(sent, Err(Failure::Unsent(_))) {
+    if sent.is_ok() {
         in_flight.record_activity();
     }
     let (response, connection) = sent.inspect_err(|failure| {
@@ -371,7 +371,7 @@
             return Some(sent);
         }
         let last_activity = in_flight.last_activity();
-        if until >= last || !req.retry_safety().is_stream() || last_activity <= since {
+        if until >= last || last_activity <= since {
             return None;
         }
         since = last_activity;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -7,6 +7,7 @@
 mod util;
 
 mod admission;
+mod admission_queue;
 mod bad_input;
 mod claim_book;
 mod claims;
