Add the decisions of admission to plain services

One team at several times its usual load filled the queues of all endpoints of a plain service, which then refused the requests of all teams alike.

AdmissionQueue grants the permits of one service to the requests of all gateways: teams within their share first, then by priority, then by work, then by the time left. Shares follow the usual load of the teams. Requests that would be late, or whose team is over its share while others wait, are refused with a time to return that follows from the measured rate of drain. WaitingRoom bounds what waits at one gateway.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 //! the daemons. See `docs/design/policy.md`.
 
 mod admission;
+mod admission_queue;
 mod cascade;
 mod crash_ledger;
 mod health;
@@ -28,6 +29,10 @@
 mod version;
 
 pub use admission::{Admission, AdmissionError, PoolCapacity};
+pub use admission_queue::{
+    AdmissionKey, AdmissionQuestion, AdmissionQueue, AdmissionRefusal,
+    AdmissionVerdict, PermitCapacity, WaitingRoom,
+};
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
 pub use crash_ledger::{CUT_RATE_WINDOW_MS, ComponentSet, CrashLedger, CutRequest};
 pub use health::{Health, HealthSample};
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -297,6 +297,26 @@
         })
     }
 
+    /// Returns the slots of the endpoints of `service` that take requests now; see
+    /// [`Pool::pick`].
+    pub fn open_slots(&self, service: &str, now: Millis) -> u32 {
+        let request = PickRequest {
+            service,
+            ..PickRequest::default()
+        };
+        let open: Vec<&EndpointStats> = self
+            .matching(&request)
+            .filter(|stats| !stats.is_paused(now))
+            .collect();
+        let is_healthy = |stats: &&&EndpointStats| stats.health.is_available(now);
+        let ignore_health = open.iter().filter(is_healthy).count() * 2 < open.len();
+        let used = open
+            .iter()
+            .filter(|stats| ignore_health || is_healthy(stats));
+        let slots = used.map(|stats| stats.endpoint.slots);
+        slots.fold(0, u32::saturating_add)
+    }
+
     /// Returns whether `id` asked for a pause that is not over.
     pub fn is_paused(&self, id: &str, now: Millis) -> bool {
         let stats = self.endpoints.get(id);
