Let requests to plain services wait for a permit

The owner of a service, by the rendezvous hashing that also chooses trackers, grants permits to all gateways: a question, an answer (a second one if the request waits) and the end, all as datagrams. A request waits at its gateway and asks again every 400 ms; without an answer within 15 ms the gateway admits up to its own part of the permits. Settings section [admission], off by default: then no datagram is sent and no request waits.

tests/admission_queue.rs, three gateways, 16 slots of 40 ms, a surge of 667 requests a second beside 50 of another team: the other team is served to at least 98%, all other requests are answered or get 503 with Retry-After, and exactly the answered ones ran.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use catalog::Endpoint;
 use clock::Millis;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use route::{HealthSample, Sampling, first_size};
 
 use crate::{
+    admission::{AdmissionTicket, NotAdmitted},
     attempt::{Answer, ExtraHeaders, Failure, InFlight, KeepAlive, attempt, is_framed},
     body::ResponseBody,
     caller_request::{
@@ -74,9 +75,7 @@
     if retryable {
         let available_in_s = refusal.available_in_ms.unwrap_or(0) as f64 / 1_000.0;
         let after_s = available_in_s + rand::rng().random_range(RETRY_AFTER_S);
-        if let Ok(value) = HeaderValue::from_str(&format!("{after_s:.2}")) {
-            headers.insert(header::RETRY_AFTER, value);
-        }
+        set_retry_after(headers, after_s);
     }
     // The unread rest of the body must not be parsed as the next request.
     if refusal.status == StatusCode::PAYLOAD_TOO_LARGE {
@@ -85,6 +84,23 @@
     response
 }
 
+/// Builds the answer to a request that got no permit. The time after which its caller is
+/// to return is random already.
+fn refuse_admission(log: &RequestLog, refused: NotAdmitted) -> Response<ResponseBody> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    log.ended(status.as_u16(), refused.reason);
+    let mut response = empty_response(status);
+    let after_s = refused.retry_after_ms as f64 / 1_000.0;
+    set_retry_after(response.headers_mut(), after_s);
+    response
+}
+
+fn set_retry_after(headers: &mut HeaderMap, after_s: f64) {
+    if let Ok(value) = HeaderValue::from_str(&format!("{after_s:.2}")) {
+        headers.insert(header::RETRY_AFTER, value);
+    }
+}
+
 fn empty_response(status: StatusCode) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::buffered(Bytes::new()));
     *response.status_mut() = status;
@@ -115,6 +131,8 @@
     pub assignment: RolloutAssignment,
     /// Version of the endpoint that answered last.
     version: Option<String>,
+    /// Permit of a request to a plain service, for all its attempts.
+    permit: Option<AdmissionTicket>,
 }
 
 impl Drop for Dispatch {
@@ -183,10 +201,15 @@
             size,
             assignment: RolloutAssignment::default(),
             version: None,
+            permit: None,
         }
     }
 
     async fn run(mut self) -> Response<ResponseBody> {
+        match self.gateway.admit(&self.req).await {
+            Ok(permit) => self.permit = permit,
+            Err(refused) => return refuse_admission(&self.log, refused),
+        }
         self.gateway.count_first_attempt(&self.req.service);
         let mut fallback: Option<FallbackAnswer> = None;
         loop {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    admission::AdmissionExchange,
     datagram::LogPositions,
     idle_connections::{IdleConnections, idle_max},
     latency::LatencyBaselines,
@@ -63,6 +64,8 @@
     pub load: LoadExchange,
     /// Exchange on the limits that endpoints name.
     pub limits_exchange: LimitExchange,
+    /// Exchange on permits for requests to plain services.
+    pub admission: AdmissionExchange,
     /// Crashes, and the requests that are held back because of them.
     pub quarantine: QuarantineExchange,
     pub idle_connections: RefCell<IdleConnections>,
@@ -130,6 +133,7 @@
             prefill_weight: f64::from(routing.read_weight_percent) / 100.0,
         });
         let wait_ms = settings.store.poll_wait_ms;
+        let admission = AdmissionExchange::new(&settings.admission);
         Gateway {
             settings,
             pacing: ReadPacing::new(wait_ms),
@@ -140,6 +144,7 @@
             pool: RefCell::new(pool),
             load: LoadExchange::new(routing.prefill_tokens_per_ms),
             limits_exchange: LimitExchange::default(),
+            admission,
             quarantine: QuarantineExchange::default(),
             idle_connections: RefCell::default(),
             stats: Stats::default(),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -22,6 +22,7 @@
 pub use keys::{KEYS, KeyDef, ValueKind, reference};
 pub use secrets::{Operator, Secrets};
 pub use values::{
-    AgentSettings, EntrySettings, FirstModel, GatewaySettings, LogSettings, Objective,
-    ProcessSettings, Role, RoutingSettings, Settings, StoreOutage, StoreSettings,
+    AdmissionSettings, AgentSettings, EntrySettings, FirstModel, GatewaySettings,
+    LogSettings, Objective, ProcessSettings, Role, RoutingSettings, Settings,
+    StoreOutage, StoreSettings,
 };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod rater;
 mod relay;
 mod scripted_endpoint;
+mod slotted_endpoint;
 mod weight_store;
 
 pub use engine::{Engine, EngineConfig, EngineState};
@@ -25,4 +26,5 @@
 pub use scripted_endpoint::{
     Action, Framing, ReceivedRequest, ScriptedEndpoint, StreamEnd, Trigger,
 };
+pub use slotted_endpoint::{SlottedCounts, SlottedEndpoint};
 pub use weight_store::WeightStore;
--- a/crates/standin/src/scripted_endpoint.rs
+++ b/crates/standin/src/scripted_endpoint.rs
@@ -384,7 +384,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
@@ -409,7 +409,7 @@
     Some(request)
 }
 
-fn response(status: &str, id: &str, extra: &str, body: &str) -> String {
+pub(crate) fn response(status: &str, id: &str, extra: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status}\r\nx-request-id: {id}\r\n{extra}content-length: {}\r\n\r\n{body}",
         body.len()
--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -1,10 +1,15 @@
 //! Requests at plain services with more requests than slots.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
-use standin::{Action, ScriptedEndpoint};
+use standin::{Action, ScriptedEndpoint, SlottedEndpoint};
 
-use crate::util::gateway_harness::{TestPlatform, configuration_with, request, send};
+use crate::util::gateway_harness::{
+    GatewayProcess, Reply, TestPlatform, configuration_with, request, send,
+};
 
 /// A route with an objective long enough for a busy machine: an attempt is given up
 /// after 1 s of silence.
@@ -110,3 +115,121 @@
     let reply = send(gateway.callers, &request("GET", "/once/", "r2", "", "")).await;
     assert_eq!(reply.status, 502, "{reply:?}");
 }
+
+const ENABLED: &str = "[admission]\nenabled = yes\n";
+
+/// Slots of each endpoint that [`slotted_platform`] starts, as they are announced.
+const SLOTS: usize = 8;
+
+/// A platform with endpoints of [`SLOTS`] slots that take 40 ms for a request.
+async fn slotted_platform(count: usize) -> (TestPlatform, Vec<SlottedEndpoint>) {
+    let platform = TestPlatform::start().await;
+    let config = configuration_with(2, SLOW_ROUTE);
+    platform.log.put("keyed.op", "config", &config);
+    let mut endpoints = Vec::new();
+    for n in 0..count {
+        let work = Duration::from_millis(40);
+        let endpoint = SlottedEndpoint::start(SLOTS, 3 * SLOTS, work).await;
+        let id = format!("p{n}");
+        platform.announce_as(&id, "plain", endpoint.address, "v1", "ready");
+        endpoints.push(endpoint);
+    }
+    (platform, endpoints)
+}
+
+/// Starts gateways with admission that hear each other.
+async fn gateways(platform: &TestPlatform, count: usize) -> Vec<GatewayProcess> {
+    let mut gateways: Vec<GatewayProcess> = Vec::new();
+    for _ in 0..count {
+        let peers: Vec<String> = gateways
+            .iter()
+            .map(|gateway| gateway.peer_address.to_string())
+            .collect();
+        let peers = format!("[peers]\naddresses = {}\n", peers.join(","));
+        let peers = if gateways.is_empty() { "" } else { &peers };
+        gateways.push(platform.gateway(&format!("{ENABLED}{peers}")).await);
+    }
+    for gateway in &gateways {
+        gateway.wait_logged("event=config_in_force version=2").await;
+        gateway.wait_logged("endpoint=p0").await;
+        for other in &gateways {
+            if other.peer_address != gateway.peer_address {
+                let line = format!("event=peer_heard peer={}", other.peer_address);
+                gateway.wait_logged(&line).await;
+            }
+        }
+    }
+    gateways
+}
+
+fn get(team: &str, id: &str) -> String {
+    request("GET", "/slow/", id, "", "").replace("key-a", &format!("key-{team}"))
+}
+
+/// Sends requests of a team at a constant rate for some time; returns the replies.
+async fn send_at_rate(
+    callers: Vec<SocketAddr>,
+    team: &'static str,
+    interval: Duration,
+    count: usize,
+) -> Vec<Reply> {
+    let mut sent = Vec::new();
+    let started = Instant::now();
+    for n in 0..count {
+        let due = started + interval * n as u32;
+        tokio::time::sleep_until(due.into()).await;
+        let callers = callers[n % callers.len()];
+        let text = get(team, &format!("{team}{n}"));
+        sent.push(tokio::spawn(async move { send(callers, &text).await }));
+    }
+    let mut replies = Vec::new();
+    for reply in sent {
+        replies.push(reply.await.expect("the task ends"));
+    }
+    replies
+}
+
+fn count_status(replies: &[Reply], status: u16) -> usize {
+    replies.iter().filter(|r| r.status == status).count()
+}
+
+/// Checks that each reply is an answer or a refusal with a time to return, and that
+/// exactly the answered requests ran.
+fn check_outcomes(replies: &[Reply], endpoints: &[SlottedEndpoint]) {
+    for reply in replies {
+        assert!([200, 503].contains(&reply.status), "{reply:?}");
+        if reply.status == 503 {
+            let after = reply.header("retry-after").expect("names a time");
+            let after: f64 = after.parse().expect("a number of seconds");
+            assert!((0.2..=15.0).contains(&after), "{after}");
+        }
+    }
+    let ran: u32 = endpoints
+        .iter()
+        .flat_map(|endpoint| endpoint.counts().ran.into_values())
+        .sum();
+    assert_eq!(ran as usize, count_status(replies, 200));
+}
+
+/// Three plain endpoints refused 1,701 of 6,341 requests of all teams when one team had
+/// nine times its usual load, and 252 requests ended with 502.
+#[tokio::test]
+async fn surge_of_one_team_is_refused_and_others_are_served() {
+    let (platform, endpoints) = slotted_platform(2).await;
+    let gateways = gateways(&platform, 3).await;
+    let callers: Vec<SocketAddr> = gateways.iter().map(|g| g.callers).collect();
+    // 16 slots of 40 ms run up to 400 requests a second; 700 are sent.
+    let interval = Duration::from_millis(20);
+    let usual = tokio::spawn(send_at_rate(callers.clone(), "b", interval, 200));
+    let interval = Duration::from_micros(1_500);
+    let surge = send_at_rate(callers, "a", interval, 2_500).await;
+    let usual = usual.await.expect("the task ends");
+    let served = count_status(&usual, 200);
+    assert!(served >= 196, "{served} of {} were served", usual.len());
+    assert!(count_status(&surge, 503) > 0, "the surge exceeds the slots");
+    let all = [usual, surge].concat();
+    check_outcomes(&all, &endpoints);
+    let line = "event=admission_contended";
+    let logged = gateways.iter().flat_map(|gateway| gateway.logged(line));
+    assert!(logged.count() > 0, "the owner logs that requests wait");
+}
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -1,8 +1,8 @@
 //! Framing of event streams, and limits on datagrams from peers.
 
 use gateway::{
-    Datagram, EventFramer, PeerStatus, PeerUpdate, RolloutReport, RunEvent,
-    decode_datagram,
+    AdmissionDecision, Datagram, EventFramer, PeerStatus, PeerUpdate, RolloutReport,
+    RunEvent, decode_datagram,
 };
 use proptest::prelude::*;
 use route::{DispatchNotice, DrainNotice, Evidence};
@@ -65,8 +65,21 @@
                 prop_assert!(notice.components.len() <= 32);
             }
             Some(Datagram::Sound(notice)) => prop_assert!(notice.components.len() <= 32),
+            Some(Datagram::AdmissionQuestion(question)) => {
+                prop_assert!(question.left_ms <= 86_400_000);
+                prop_assert!(question.running <= 10_000);
+            }
+            Some(Datagram::AdmissionAnswer(answer)) => match answer.decision {
+                AdmissionDecision::RefusedForDeadline(after_ms)
+                | AdmissionDecision::RefusedForShare(after_ms)
+                | AdmissionDecision::RefusedForRoom(after_ms) => {
+                    prop_assert!(after_ms <= 60_000);
+                }
+                AdmissionDecision::Granted | AdmissionDecision::Waiting => {}
+            },
             Some(
-                Datagram::Crashed(_)
+                Datagram::AdmissionEnd(_)
+                | Datagram::Crashed(_)
                 | Datagram::LimitQuestion(_)
                 | Datagram::LimitAnswer(_),
             )
