Keep the shares of teams when the owner of a service is lost

Owners now tell the usual load of the team with each answer, gateways tell it to the next owner, and that one takes it over.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -59,6 +59,12 @@
 /// Time without waiting requests after which a service counts as relieved, ms.
 const RELIEVED_MS: u64 = 1_000;
 
+/// Maximum number of services and teams whose usual load is remembered.
+const USUAL_COUNT_MAX: usize = 8_192;
+
+/// Thousandths in which usual loads are exchanged, per slot.
+const MILLIS_PER_SLOT: f64 = 1_000.0;
+
 /// Minimum interval of log lines on owners that do not answer, ms.
 const UNANSWERED_LOG_MS: u64 = 1_000;
 
@@ -75,6 +81,9 @@
     running: RefCell<HashMap<u64, u32>>,
     /// Own requests that wait.
     room: RefCell<WaitingRoom>,
+    /// Usual loads as owners told them, in thousandths of a slot, by the digests of the
+    /// service and the team.
+    usual: RefCell<HashMap<(u64, u64), u32>>,
     last_number: Cell<Option<u64>>,
     unanswered_logged: Cell<Option<Millis>>,
 }
@@ -87,6 +96,18 @@
             ..AdmissionExchange::default()
         }
     }
+
+    fn usual_of(&self, service: u64, team: u64) -> u32 {
+        let usual = self.usual.borrow();
+        usual.get(&(service, team)).copied().unwrap_or(0)
+    }
+
+    fn record_usual(&self, service: u64, team: u64, milli: u32) {
+        let mut usual = self.usual.borrow_mut();
+        if usual.len() < USUAL_COUNT_MAX || usual.contains_key(&(service, team)) {
+            usual.insert((service, team), milli);
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -280,6 +301,11 @@
             let mut verdict = ticket.waiter.next(ANSWER_TIMEOUT_MS).await;
             if verdict.is_none() {
                 self.record_unanswered(owner);
+                if !self.needs_permit(req) {
+                    // The endpoints have gone, so the request is to be refused at once.
+                    ticket.record_admitted();
+                    return Ok(ticket);
+                }
                 ticket.ask(Asked::Local, req);
                 verdict = ticket.waiter.next(0).await;
             }
@@ -356,6 +382,15 @@
         (slots > 0).then(|| scale(slots, factor, part))
     }
 
+    /// Returns what this gateway grants to requests that wait: nothing if another one
+    /// owns the service now, since they ask that one.
+    fn owned_capacity(&self, service: u64, now: Millis) -> PermitCapacity {
+        if self.peers.borrow().tracker(service, now).is_some() {
+            return PermitCapacity::default();
+        }
+        self.permit_capacity(service, now).unwrap_or_default()
+    }
+
     /// Returns this gateway's own part of [`Gateway::permit_capacity`].
     fn local_capacity(&self, service: u64, now: Millis) -> Option<PermitCapacity> {
         let all = self.permit_capacity(service, now)?;
@@ -379,7 +414,11 @@
             return;
         }
         if let Some(verdict) = self.ask_owned(Some(from), question, now) {
-            self.answer_peer(from, question.service, question.number, verdict);
+            let key = AdmissionKey {
+                gateway: Some(from),
+                number: question.number,
+            };
+            self.answer(question.service, question.team, key, verdict);
         }
     }
 
@@ -397,7 +436,11 @@
         let asked = question.with_gateway(gateway);
         let verdict = service.queue.ask(&asked, capacity, draw_jitter(), now);
         let decided = service.queue.take_decided();
+        let usual = service.queue.usual(question.team);
         drop(owned);
+        let usual_milli = (usual * MILLIS_PER_SLOT) as u32;
+        self.admission
+            .record_usual(question.service, question.team, usual_milli);
         self.deliver(question.service, decided);
         Some(verdict)
     }
@@ -434,6 +477,13 @@
             }
             return;
         };
+        if answer.usual_milli > 0 {
+            self.admission.record_usual(
+                answer.service,
+                answer.team,
+                answer.usual_milli,
+            );
+        }
         waiter.set(answer.decision.into());
     }
 
@@ -448,7 +498,7 @@
     }
 
     fn end_owned(&self, gateway: Option<SocketAddr>, end: &AdmissionEnd, now: Millis) {
-        let capacity = self.permit_capacity(end.service, now).unwrap_or_default();
+        let capacity = self.owned_capacity(end.service, now);
         let mut owned = self.admission.owned.borrow_mut();
         let Some(service) = owned.get_mut(&end.service) else {
             return;
@@ -482,29 +532,35 @@
     /// Passes decisions on to the requests that wait for them.
     fn deliver(&self, service: u64, decided: Vec<(AdmissionKey, AdmissionVerdict)>) {
         for (key, verdict) in decided {
-            match key.gateway {
-                Some(peer) => self.answer_peer(peer, service, key.number, verdict),
-                None => {
-                    let waiters = self.admission.waiters.borrow();
-                    if let Some(waiter) = waiters.get(&key.number) {
-                        waiter.set(verdict);
-                    }
-                }
-            }
+            self.answer(service, 0, key, verdict);
         }
     }
 
-    fn answer_peer(
+    /// Passes a decision on; the usual load of `team` goes with it, unless that is zero.
+    fn answer(
         &self,
-        peer: SocketAddr,
         service: u64,
-        number: u64,
+        team: u64,
+        key: AdmissionKey,
         verdict: AdmissionVerdict,
     ) {
+        let Some(peer) = key.gateway else {
+            let waiters = self.admission.waiters.borrow();
+            if let Some(waiter) = waiters.get(&key.number) {
+                waiter.set(verdict);
+            }
+            return;
+        };
+        let usual_milli = match team {
+            0 => 0,
+            team => self.admission.usual_of(service, team),
+        };
         let answer = AdmissionAnswer {
             service,
-            number,
+            number: key.number,
             decision: verdict.into(),
+            team,
+            usual_milli,
         };
         self.send_now(peer, &Datagram::AdmissionAnswer(answer));
     }
@@ -517,7 +573,7 @@
             owned.keys().copied().collect()
         };
         for service in services {
-            let capacity = self.permit_capacity(service, now).unwrap_or_default();
+            let capacity = self.owned_capacity(service, now);
             let mut owned = self.admission.owned.borrow_mut();
             let Some(entry) = owned.get_mut(&service) else {
                 continue;
@@ -558,15 +614,17 @@
             let running = gateway.admission.running.borrow();
             running.get(&self.service).copied().unwrap_or(0)
         };
+        let team = team_digest(req);
         let left_ms = u32::try_from(req.left_ms(now)).unwrap_or(u32::MAX);
         let question = AdmissionQuestion {
             service: self.service,
             number: self.number,
-            team: team_digest(req),
+            team,
             priority: req.priority,
             left_ms: left_ms.min(ADMISSION_LEFT_MAX_MS),
             running,
             identity: req.components.whole,
+            usual_milli: gateway.admission.usual_of(self.service, team),
         };
         if !self.asked.contains(&asked) {
             self.asked.push(asked);
@@ -633,6 +691,7 @@
             left_ms: self.left_ms.into(),
             running: self.running,
             identity: self.identity,
+            usual: f64::from(self.usual_milli) / MILLIS_PER_SLOT,
         }
     }
 }
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -168,6 +168,8 @@
     pub running: u32,
     /// Digest by which the request is recognized when it comes again.
     pub identity: u64,
+    /// Usual load of the team as the sender was told last, in thousandths of a slot.
+    pub usual_milli: u32,
 }
 
 /// The decision on a request.
@@ -179,6 +181,10 @@
     pub number: u64,
     /// The decision.
     pub decision: AdmissionDecision,
+    /// Digest of the team.
+    pub team: u64,
+    /// Usual load of the team, in thousandths of a slot, for the next owner.
+    pub usual_milli: u32,
 }
 
 /// Whether a request may be sent.
--- a/crates/route/src/admission_queue.rs
+++ b/crates/route/src/admission_queue.rs
@@ -47,6 +47,14 @@
 /// Time after the last waiting request for which the service counts as contended, ms.
 const CONTENDED_MS: u64 = 1_000;
 
+/// Time from its first request for which the usual load of a team is taken over from
+/// gateways that an earlier owner told it, ms.
+const TAKE_OVER_MS: u64 = 5_000;
+
+/// Maximum usual load that is taken over, in slots, since questions are not
+/// authenticated.
+const USUAL_MAX: f64 = 10_000.0;
+
 /// Part of the mean load that each team's share has on top of its own usual load, so
 /// that a new team gets something.
 const WEIGHT_FLOOR: f64 = 0.25;
@@ -116,6 +124,9 @@
     pub running: u32,
     /// Digest by which the request is recognized when it comes again with another id.
     pub identity: u64,
+    /// Usual load of the team, in slots, as the gateway was told last; zero if it was
+    /// not.
+    pub usual: f64,
 }
 
 /// What the endpoints of a service take.
@@ -207,6 +218,8 @@
     /// Usual load, in slots.
     usual: f64,
     usual_updated: Millis,
+    /// When the first request of the team came.
+    first_asked: Option<Millis>,
     /// Moving mean of the duration of its requests, ms; zero if unknown.
     duration_ms: f64,
     last_granted: Millis,
@@ -249,6 +262,15 @@
         self.told.iter().filter(|told| told.due > now).count()
     }
 
+    /// Takes over what an earlier owner knew, while this one has learned little.
+    fn take_over_usual(&mut self, usual: f64, now: Millis) {
+        let first_asked = *self.first_asked.get_or_insert(now);
+        if now.since(first_asked) < TAKE_OVER_MS && usual > self.usual {
+            self.usual = usual.min(USUAL_MAX);
+            self.usual_updated = now;
+        }
+    }
+
     fn add_usual(&mut self, work_ms: f64, time_constant_ms: f64, now: Millis) {
         let age_ms = now.since(self.usual_updated) as f64;
         self.usual *= (-age_ms / time_constant_ms).exp();
@@ -324,6 +346,7 @@
             return AdmissionVerdict::Waiting;
         }
         let team_id = self.account(question.team);
+        self.team(team_id).take_over_usual(question.usual, now);
         let arrival = self.record_arrival(team_id, question.identity, now);
         self.sequence += 1;
         let rank = Rank {
@@ -421,6 +444,12 @@
         std::mem::take(&mut self.decided)
     }
 
+    /// Returns the usual load of a team, in slots.
+    pub fn usual(&self, team: u64) -> f64 {
+        let team = self.teams.get(&self.account(team));
+        team.map_or(0.0, |team| team.usual)
+    }
+
     /// Returns the number of requests in progress, also of those that others granted.
     pub fn in_use(&self) -> u32 {
         let others: u32 = self.gateways.values().map(|gateway| gateway.others).sum();
--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
+use route::{digest_text, rendezvous_weight};
 use standin::{Action, ScriptedEndpoint, SlottedEndpoint};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::util::gateway_harness::{
     GatewayProcess, Reply, TestPlatform, configuration_with, request, send,
@@ -123,12 +125,18 @@
 
 /// A platform with endpoints of [`SLOTS`] slots that take 40 ms for a request.
 async fn slotted_platform(count: usize) -> (TestPlatform, Vec<SlottedEndpoint>) {
+    slotted_platform_with(count, Duration::from_millis(40)).await
+}
+
+async fn slotted_platform_with(
+    count: usize,
+    work: Duration,
+) -> (TestPlatform, Vec<SlottedEndpoint>) {
     let platform = TestPlatform::start().await;
     let config = configuration_with(2, SLOW_ROUTE);
     platform.log.put("keyed.op", "config", &config);
     let mut endpoints = Vec::new();
     for n in 0..count {
-        let work = Duration::from_millis(40);
         let endpoint = SlottedEndpoint::start(SLOTS, 3 * SLOTS, work).await;
         let id = format!("p{n}");
         platform.announce_as(&id, "plain", endpoint.address, "v1", "ready");
@@ -233,3 +241,95 @@
     let logged = gateways.iter().flat_map(|gateway| gateway.logged(line));
     assert!(logged.count() > 0, "the owner logs that requests wait");
 }
+
+/// When the owner of the service is lost, its permits are lost with it: requests must
+/// neither wait for it nor be sent without bound.
+#[tokio::test]
+async fn others_are_served_when_the_owner_is_killed_during_a_surge() {
+    let (platform, endpoints) = slotted_platform(2).await;
+    let mut gateways = gateways(&platform, 3).await;
+    let service = digest_text("plain");
+    gateways.sort_by_key(|gateway| {
+        let gateway = digest_text(&gateway.peer_address.to_string());
+        rendezvous_weight(gateway, service)
+    });
+    let owner = gateways.pop().expect("there are three");
+    let callers: Vec<SocketAddr> = gateways.iter().map(|g| g.callers).collect();
+    let interval = Duration::from_millis(20);
+    let usual = tokio::spawn(send_at_rate(callers.clone(), "b", interval, 250));
+    let interval = Duration::from_micros(1_500);
+    let surge = tokio::spawn(send_at_rate(callers, "a", interval, 2_500));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(
+        !owner.logged("event=admission_contended").is_empty(),
+        "the gateway with the highest weight owns the service"
+    );
+    drop(owner);
+    let usual = usual.await.expect("the task ends");
+    let surge = surge.await.expect("the task ends");
+    let served = count_status(&usual, 200);
+    assert!(served >= 245, "{served} of {} were served", usual.len());
+    assert!(count_status(&surge, 503) > 0, "the surge exceeds the slots");
+    check_outcomes(&[usual, surge].concat(), &endpoints);
+    let line = "event=admission_unanswered";
+    let logged = gateways.iter().flat_map(|gateway| gateway.logged(line));
+    assert!(logged.count() > 0, "lost answers are logged");
+}
+
+/// A request whose caller has left would otherwise keep its place and then run.
+#[tokio::test]
+async fn waiting_request_ends_when_its_caller_leaves() {
+    let (platform, endpoints) =
+        slotted_platform_with(1, Duration::from_millis(400)).await;
+    let gateways = gateways(&platform, 1).await;
+    let callers = gateways[0].callers;
+    // Permits are twice the slots.
+    let sending: Vec<_> = (0..2 * SLOTS)
+        .map(|n| {
+            let text = get("a", &format!("r{n}"));
+            tokio::spawn(async move { send(callers, &text).await })
+        })
+        .collect();
+    while endpoints[0].counts().held_most < 2 * SLOTS {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut leaving = TcpStream::connect(callers).await.expect("connects");
+    let text = get("a", "leaver");
+    leaving.write_all(text.as_bytes()).await.expect("sends");
+    gateways[0].wait_logged("event=admission_contended").await;
+    drop(leaving);
+    let line = gateways[0].wait_logged("outcome=caller_left").await;
+    assert!(line.contains("request=leaver"), "{line}");
+    for sending in sending {
+        assert_eq!(sending.await.expect("the task ends").status, 200);
+    }
+    assert_eq!(send(callers, &get("a", "last")).await.status, 200);
+    let ran = endpoints[0].counts().ran["team-a"];
+    assert_eq!(ran as usize, 2 * SLOTS + 1, "the abandoned request ran");
+}
+
+/// Without the setting, a gateway sends requests on at once, and peers get no datagram
+/// that an earlier version cannot decode.
+#[tokio::test]
+async fn nothing_waits_without_the_setting() {
+    let (platform, endpoints) =
+        slotted_platform_with(1, Duration::from_millis(300)).await;
+    let gateway = platform.gateway("").await;
+    gateway.wait_logged("event=config_in_force version=2").await;
+    gateway.wait_logged("endpoint=p0").await;
+    let callers = gateway.callers;
+    let held_max = 4 * SLOTS;
+    let sending: Vec<_> = (0..held_max)
+        .map(|n| {
+            let text = get("a", &format!("r{n}"));
+            tokio::spawn(async move { send(callers, &text).await })
+        })
+        .collect();
+    for sending in sending {
+        assert_eq!(sending.await.expect("the task ends").status, 200);
+    }
+    assert!(endpoints[0].counts().held_most > 2 * SLOTS);
+    let metrics = "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n";
+    let metrics = send(gateway.metrics, metrics).await;
+    assert!(!metrics.text.contains("admission"), "{metrics:?}");
+}
