--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -367,13 +367,20 @@
         }
     }
 
+    /// Returns the name of the service with this digest.
+    fn permit_service(&self, service: u64) -> Option<String> {
+        let catalog = self.catalog()?;
+        let mut names = catalog.services.iter().map(|known| &known.name);
+        names.find(|name| digest_text(name) == service).cloned()
+    }
+
     /// Returns what the endpoints of a service take from the gateways that this one
     /// hears; `None` if the service is unknown or none of them takes requests.
     fn permit_capacity(&self, service: u64, now: Millis) -> Option<PermitCapacity> {
-        let catalog = self.catalog()?;
-        let mut services = catalog.services.iter();
-        let service = services.find(|known| digest_text(&known.name) == service)?;
-        let slots = self.pool.borrow().open_slots(&service.name, now);
+        let slots = self
+            .pool
+            .borrow()
+            .open_slots(&self.permit_service(service)?, now);
         let peers = self.peers.borrow();
         let fresh = peers.fresh_statuses(now).count() + 1;
         let all = peers.heard_within(FLEET_MEMBER_MS, now).count() + 1;
@@ -579,7 +586,8 @@
                 continue;
             };
             entry.queue.expire(capacity, draw_jitter(), now);
-            entry.log_contention(service, capacity, now);
+            let name = self.permit_service(service).unwrap_or_default();
+            entry.log_contention(&name, capacity, now);
             let decided = entry.queue.take_decided();
             drop(owned);
             self.deliver(service, decided);
@@ -655,12 +663,12 @@
 
 impl OwnedService {
     /// Logs when requests begin to wait, and when none has waited for some time.
-    fn log_contention(&mut self, service: u64, capacity: PermitCapacity, now: Millis) {
+    fn log_contention(&mut self, service: &str, capacity: PermitCapacity, now: Millis) {
         let waiting = self.queue.waiting_count();
         if waiting > 0 {
             if self.contended.replace(now).is_none() {
                 info!(
-                    "event=admission_contended service={service:x} permits={} in_use={} waiting={waiting}",
+                    "event=admission_contended service={service} permits={} in_use={} waiting={waiting}",
                     capacity.permits,
                     self.queue.in_use()
                 );
@@ -671,7 +679,7 @@
         {
             self.contended = None;
             info!(
-                "event=admission_relieved service={service:x} permits={} in_use={}",
+                "event=admission_relieved service={service} permits={} in_use={}",
                 capacity.permits,
                 self.queue.in_use()
             );
--- a/crates/route/src/admission_queue.rs
+++ b/crates/route/src/admission_queue.rs
@@ -77,8 +77,8 @@
 /// The rest keeps the queues of the endpoints short for those within theirs.
 const OVER_SHARE_FRACTION: f64 = 0.75;
 
-/// Number of requests, running or waiting, that a team may have beyond twice its share
-/// while others wait: a short burst of a small team is not refused.
+/// Number of requests, running or waiting, that a team may have beyond twice its share, or
+/// its part of all, while others wait: a short burst of a small team is not refused.
 const BURST: f64 = 8.0;
 
 /// Bounds of the time after which refused callers are told to return, ms.
@@ -589,7 +589,12 @@
         let weights = self.weights(Some(team_id));
         let wanted = f64::from(team.in_use) + team.waiting.len() as f64;
         let others_wait = self.waiting.len() > team.waiting.len();
-        let most = 2.0 * self.share(team, weights, capacity) + BURST;
+        // All teams want more when the endpoints become slower, so one that wants no more
+        // than its part of all is not the cause.
+        let part = weights.of(team) / weights.total;
+        let wanted_by_all = f64::from(self.in_use()) + self.waiting.len() as f64;
+        let share = self.share(team, weights, capacity);
+        let most = (2.0 * share).max(part * wanted_by_all) + BURST;
         if others_wait && rank.arrival != Arrival::Returning && wanted >= most {
             return Some(AdmissionRefusal::Share);
         }
