--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! rollouts are read from the platform's log. Everything runs on one thread,
 //! so the state needs no locks. See `docs/design/deployment.md`.
 
+mod admission;
 mod attempt;
 mod body;
 mod caller_request;
@@ -43,8 +44,9 @@
 };
 
 pub use datagram::{
-    CrashNotice, CutReport, Datagram, LimitNotice, LimitQuestion, LoadAnswer,
-    LoadQuestion, LoadReport, LogPositions, PeerStatus, PeerUpdate, QuarantineNotice,
+    AdmissionAnswer, AdmissionDecision, AdmissionEnd, AdmissionQuestion, CrashNotice,
+    CutReport, Datagram, LimitNotice, LimitQuestion, LoadAnswer, LoadQuestion,
+    LoadReport, LogPositions, PeerStatus, PeerUpdate, QuarantineNotice,
     QuarantineState, RolloutEnd, RolloutReport, RunEvent, SoundNotice, WarmupNotice,
     WarmupReason, decode_datagram,
 };
@@ -130,6 +132,9 @@
     tokio::task::spawn_local(gossip::run(gateway.clone(), listeners.peer_datagrams));
     tokio::task::spawn_local(config_fetch::run(gateway.clone()));
     tokio::task::spawn_local(rollout_recorder::run(gateway.clone()));
+    if gateway.settings.admission.enabled {
+        tokio::task::spawn_local(admission::expire(gateway.clone()));
+    }
     tokio::task::spawn_local(quarantine::evaluate(gateway.clone()));
     tokio::task::spawn_local(quarantine::refresh(gateway.clone()));
     tokio::task::spawn_local(quarantine::record(gateway.clone()));
