Test that prompts and slow engines make streams late

Change: tests/engine_speed.rs replays streams on 24 simulated engines of three speeds through the pool and the load tracker.

--- /dev/null
+++ b/tests/engine_speed.rs
@@ -0,0 +1,371 @@
+//! Streams on engines of different speeds, with simulated time and no network.
+//!
+//! An engine decodes one token a step for all its streams, and processes a chunk of the
+//! waiting prompts between two steps. A chunk of a large model takes longer than ten
+//! steps, so that prompts decide when the streams beside them end.
+
+use std::collections::VecDeque;
+
+use catalog::Endpoint;
+use clock::Millis;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use route::{
+    AnnouncedAt, Costs, LoadTracker, PickRequest, Pool, RunKey, TrackedLoads,
+    digest_text, prefix_digests,
+};
+
+use crate::util::endpoints::endpoint;
+
+/// Time of a step without streams at pace 1, ms.
+const STEP_MS: f64 = 3.8;
+
+/// Time that each stream adds to a step at pace 1, ms.
+const STEP_RUNNING_MS: f64 = 0.09;
+
+/// Prompt tokens that are processed between two steps at most.
+const CHUNK_TOKENS: f64 = 4_096.0;
+
+/// Prompt tokens that an engine of usual speed processes per ms at pace 1.
+const PREFILL_TOKENS_PER_MS: f64 = 57.0;
+
+/// Paces of the models, the smallest first.
+const PACES: [f64; 3] = [0.3, 0.8, 3.0];
+
+/// Share of the requests by model.
+const MODEL_SHARES: [f64; 3] = [0.60, 0.20, 0.20];
+
+/// Median of the prompt tokens that no engine has cached, by model.
+const PROMPT_TOKENS: [f64; 3] = [2_500.0, 2_500.0, 5_000.0];
+
+/// Slowness of the engines, in turn.
+const SLOWNESS: [f64; 3] = [0.7, 0.7, 1.7];
+
+const ENGINES: usize = 24;
+
+/// Median number of output tokens.
+const OUTPUT_TOKENS: f64 = 50.0;
+
+/// Maximum number of output tokens that a request names.
+const OUTPUT_MAX: u32 = 400;
+
+/// Time from the arrival of a request to its deadline, ms.
+const DEADLINE_MS: f64 = 4_000.0;
+
+/// Simulated time, ms; requests of the first tenth are not counted.
+const DURATION_MS: f64 = 60_000.0;
+
+/// A request, from its arrival to its last token.
+#[derive(Clone, Debug)]
+struct Stream {
+    number: u64,
+    model: usize,
+    arrived_ms: f64,
+    prompt_left: f64,
+    output: u32,
+    sent: u32,
+    first_ms: f64,
+}
+
+/// What an engine reports.
+#[derive(Clone, Debug)]
+enum Report {
+    First(u64, f64),
+    Ended(Stream, f64),
+}
+
+/// An engine that processes prompts in the order of their arrival.
+#[derive(Clone, Debug)]
+struct Engine {
+    slowness: f64,
+    now_ms: f64,
+    waiting: VecDeque<Stream>,
+    running: Vec<Stream>,
+    /// Time spent on prompts and on steps, ms.
+    prompt_ms: f64,
+    step_ms: f64,
+}
+
+impl Engine {
+    fn new(slowness: f64) -> Self {
+        Engine {
+            slowness,
+            now_ms: 0.0,
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            prompt_ms: 0.0,
+            step_ms: 0.0,
+        }
+    }
+
+    /// Works until `until_ms`, and to the end of the step or chunk at that time.
+    fn advance(&mut self, until_ms: f64, reports: &mut Vec<Report>) {
+        while self.now_ms < until_ms {
+            if self.waiting.is_empty() && self.running.is_empty() {
+                self.now_ms = until_ms;
+                return;
+            }
+            self.step(reports);
+            self.chunk();
+        }
+    }
+
+    fn step(&mut self, reports: &mut Vec<Report>) {
+        let paces = self.running.iter().map(|stream| PACES[stream.model]);
+        let pace = paces.fold(0.0, f64::max);
+        let count = self.running.len() as f64;
+        let step_ms = pace * (STEP_MS + STEP_RUNNING_MS * count) * self.slowness;
+        self.now_ms += step_ms;
+        self.step_ms += step_ms;
+        let now_ms = self.now_ms;
+        for stream in &mut self.running {
+            stream.sent += 1;
+            if stream.sent == 1 {
+                stream.first_ms = now_ms;
+                reports.push(Report::First(stream.number, now_ms));
+            }
+        }
+        let (ended, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|stream: &Stream| stream.sent >= stream.output);
+        self.running = running;
+        let ended: Vec<Stream> = ended;
+        reports.extend(ended.into_iter().map(|s| Report::Ended(s, now_ms)));
+    }
+
+    fn chunk(&mut self) {
+        let mut room = CHUNK_TOKENS;
+        while room > 0.0 {
+            let Some(stream) = self.waiting.front_mut() else {
+                return;
+            };
+            let tokens = stream.prompt_left.min(room);
+            room -= tokens.max(1.0);
+            stream.prompt_left -= tokens;
+            let pace = PACES[stream.model];
+            let chunk_ms = tokens * pace / PREFILL_TOKENS_PER_MS * self.slowness;
+            self.now_ms += chunk_ms;
+            self.prompt_ms += chunk_ms;
+            if stream.prompt_left <= 0.0
+                && let Some(stream) = self.waiting.pop_front()
+            {
+                self.running.push(stream);
+            }
+        }
+    }
+}
+
+/// What differs between two replays.
+#[derive(Clone, Copy, Debug)]
+struct Setup {
+    /// Prompt time of the requests, as a fraction of what the engines can do.
+    load: f64,
+    slowness: [f64; 3],
+    /// Factor of the large model's prompts.
+    large_prompts: f64,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup {
+            load: 0.55,
+            slowness: SLOWNESS,
+            large_prompts: 1.0,
+        }
+    }
+}
+
+/// Figures of a replay.
+#[derive(Clone, Debug, Default)]
+struct Figures {
+    streams: usize,
+    /// Streams that had not ended at their deadline.
+    late: usize,
+    /// Streams that ended, and those that ended late, at engines of each slowness.
+    ended_at: [usize; 3],
+    late_at: [usize; 3],
+    /// Times to the first and the last token, ms, sorted.
+    first_ms: Vec<f64>,
+    last_ms: Vec<f64>,
+    /// Prompts at engines of each slowness.
+    prompts: [usize; 3],
+    /// Share of the time that the engines spent on prompts, and on steps.
+    prompt_share: f64,
+    step_share: f64,
+}
+
+impl Figures {
+    fn late_share(&self) -> f64 {
+        self.late as f64 / self.streams.max(1) as f64
+    }
+
+    fn late_by_speed(&self) -> [f64; 3] {
+        let share = |i: usize| self.late_at[i] as f64 / self.ended_at[i].max(1) as f64;
+        [share(0), share(1), share(2)]
+    }
+
+    fn text(&self) -> String {
+        let at = |times: &[f64], q: f64| times[((times.len() - 1) as f64 * q) as usize];
+        format!(
+            "streams={} late={:.4} late_by_speed={:.3?} first_p50={:.0} first_p95={:.0} last_p50={:.0} last_p95={:.0} prompts={:?} prompt_share={:.2} step_share={:.2}",
+            self.streams,
+            self.late_share(),
+            self.late_by_speed(),
+            at(&self.first_ms, 0.5),
+            at(&self.first_ms, 0.95),
+            at(&self.last_ms, 0.5),
+            at(&self.last_ms, 0.95),
+            self.prompts,
+            self.prompt_share,
+            self.step_share,
+        )
+    }
+}
+
+/// Draws from a normal distribution.
+fn normal(rng: &mut StdRng) -> f64 {
+    let sum: f64 = (0..12).map(|_| rng.random::<f64>()).sum();
+    sum - 6.0
+}
+
+fn name(engine: usize) -> String {
+    format!("e{engine:02}")
+}
+
+/// Replays one load through a tracker that hears of each request.
+fn replay(setup: Setup, seed: u64) -> Figures {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut engines: Vec<Engine> = (0..ENGINES)
+        .map(|i| Engine::new(setup.slowness[i % 3]))
+        .collect();
+    let mut pool = Pool::new(Costs::default());
+    for i in 0..ENGINES {
+        let engine = Endpoint {
+            ..endpoint(&name(i))
+        };
+        pool.announce(engine, AnnouncedAt::default());
+    }
+    let mut tracker = LoadTracker::new(60.0);
+    let capacity: f64 = engines.iter().map(|engine| 1.0 / engine.slowness).sum();
+    let mean_ms: f64 = (0..3)
+        .map(|m| {
+            let tokens = PROMPT_TOKENS[m] * (0.5_f64 * 0.5 / 2.0).exp();
+            MODEL_SHARES[m] * tokens * PACES[m] / PREFILL_TOKENS_PER_MS
+        })
+        .sum();
+    let interval_ms = mean_ms / (capacity * setup.load);
+    let mut figures = Figures::default();
+    let mut now_ms = 0.0;
+    let mut number = 0;
+    while now_ms < DURATION_MS {
+        now_ms += -(1.0 - rng.random::<f64>()).ln() * interval_ms;
+        number += 1;
+        for (i, engine) in engines.iter_mut().enumerate() {
+            let mut reports = Vec::new();
+            engine.advance(now_ms, &mut reports);
+            record(&mut tracker, i, reports, &mut figures);
+        }
+        let draw = rng.random::<f64>();
+        let model = match draw {
+            d if d < MODEL_SHARES[0] => 0,
+            d if d < MODEL_SHARES[0] + MODEL_SHARES[1] => 1,
+            _ => 2,
+        };
+        let factor = if model == 2 { setup.large_prompts } else { 1.0 };
+        let tokens = PROMPT_TOKENS[model] * (normal(&mut rng) * 0.5).exp() * factor;
+        let output = OUTPUT_TOKENS * (normal(&mut rng) * 0.7).exp();
+        let output = output.clamp(2.0, f64::from(OUTPUT_MAX)) as u32;
+        let parts = prefix_digests([(number, tokens as u32), (number, 1)]);
+        let request = PickRequest {
+            service: "s",
+            failure_domain: "a",
+            model: ["m0", "m1", "m2"][model],
+            pace: PACES[model],
+            parts: &parts,
+            tokens_in: tokens as u32,
+            ..PickRequest::default()
+        };
+        let now = Millis(10_000 + now_ms as u64);
+        let mut loads = TrackedLoads::default();
+        for digest in pool.candidates(&request, now) {
+            loads.insert(digest, tracker.load(digest, &[], now));
+        }
+        let pick = pool.pick_tracked(&request, &loads, now).expect("an engine");
+        let id = pick.endpoint.id.clone();
+        let chosen = (0..ENGINES).find(|i| name(*i) == id).expect("a known id");
+        let scaled = (tokens * PACES[model]) as u32;
+        tracker.record_start(digest_text(&id), key(number), scaled, &[], now);
+        figures.prompts[chosen % 3] += 1;
+        engines[chosen].waiting.push_back(Stream {
+            number,
+            model,
+            arrived_ms: now_ms,
+            prompt_left: tokens,
+            output,
+            sent: 0,
+            first_ms: 0.0,
+        });
+    }
+    for (i, engine) in engines.iter_mut().enumerate() {
+        figures.prompt_share += engine.prompt_ms / now_ms / ENGINES as f64;
+        figures.step_share += engine.step_ms / now_ms / ENGINES as f64;
+        let mut reports = Vec::new();
+        engine.advance(DURATION_MS * 3.0, &mut reports);
+        record(&mut tracker, i, reports, &mut figures);
+    }
+    figures.first_ms.sort_by(f64::total_cmp);
+    figures.last_ms.sort_by(f64::total_cmp);
+    figures
+}
+
+fn key(number: u64) -> RunKey {
+    RunKey { sender: 1, number }
+}
+
+fn record(
+    tracker: &mut LoadTracker,
+    engine: usize,
+    reports: Vec<Report>,
+    figures: &mut Figures,
+) {
+    let digest = digest_text(&name(engine));
+    for report in reports {
+        match report {
+            Report::First(number, at_ms) => {
+                let at = Millis(10_000 + at_ms as u64);
+                tracker.record_prefill_end(digest, key(number), at);
+            }
+            Report::Ended(stream, at_ms) => {
+                tracker.record_end(digest, key(stream.number));
+                if stream.arrived_ms < DURATION_MS / 10.0 {
+                    continue;
+                }
+                figures.streams += 1;
+                let took_ms = at_ms - stream.arrived_ms;
+                let late = usize::from(took_ms > DEADLINE_MS);
+                figures.late += late;
+                figures.ended_at[engine % 3] += 1;
+                figures.late_at[engine % 3] += late;
+                figures.first_ms.push(stream.first_ms - stream.arrived_ms);
+                figures.last_ms.push(took_ms);
+            }
+        }
+    }
+}
+
+/// Guards against a simulation in which streams end late for another reason than those
+/// that placement is to mend: the prompts of the large model, and slow engines.
+#[test]
+fn large_prompts_and_slow_engines_make_streams_late() {
+    let usual = replay(Setup::default(), 1);
+    let short = Setup {
+        large_prompts: 0.1,
+        ..Setup::default()
+    };
+    let short = replay(short, 1);
+    println!("usual {}", usual.text());
+    println!("short {}", short.text());
+    assert!(usual.late_share() > 0.05, "{}", usual.text());
+    assert!(short.late_share() < 0.005, "{}", short.text());
+    let [fast, _, slow] = usual.late_by_speed();
+    assert!(slow > fast * 1.2, "{}", usual.text());
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -17,6 +17,7 @@
 mod crashing_request;
 mod endless_answer;
 mod endpoint_state;
+mod engine_speed;
 mod events;
 mod gate;
 mod gateway;
