Learn the speed of engines and predict whole answers

Cause: engines of one service differ in speed by 2.4 times, and prompts slow down the streams beside them. Placement knew neither.

Change: route::engine_speed learns the rate of prefill, the time of a token and its rise with running requests, by endpoint and relative to settings. The load tracker feeds it, and the pool's cost covers the whole answer and the delay of the streams beside it if place.learn_speeds is yes. X-Length-Hint gives the expected output. The gateways do not report streams yet.

--- a/crates/gateway/src/load_query.rs
+++ b/crates/gateway/src/load_query.rs
@@ -17,6 +17,7 @@
 use rand::RngExt;
 use route::{
     LoadTracker, PeerCoverage, PickRequest, Pool, RunKey, TrackedLoad, TrackedLoads,
+    UsualSpeed,
 };
 use tokio::{net::UdpSocket, sync::Notify};
 
@@ -50,8 +51,12 @@
 }
 
 impl LoadExchange {
-    pub fn new(prefill_tokens_per_ms: f64) -> Self {
-        let tracker = LoadTracker::new(prefill_tokens_per_ms);
+    /// Creates the state; endpoints' speed is learned if `learned` tells the usual one.
+    pub fn new(prefill_tokens_per_ms: f64, learned: Option<UsualSpeed>) -> Self {
+        let mut tracker = LoadTracker::new(prefill_tokens_per_ms);
+        if let Some(usual) = learned {
+            tracker = tracker.with_speeds(usual);
+        }
         LoadExchange {
             tracker: RefCell::new(tracker),
             socket: RefCell::default(),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -99,6 +99,7 @@
             pace: self.pace(size),
             parts: &self.req.parts,
             tokens_in: self.req.prompt.tokens_in,
+            expected_output: self.req.prompt.expected_output(),
             tried: &self.tried,
             versions,
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod cascade;
 mod crash_ledger;
+mod engine_speed;
 mod health;
 mod load_tracker;
 mod objective;
@@ -30,8 +31,9 @@
 pub use admission::{Admission, AdmissionError, PoolCapacity};
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
 pub use crash_ledger::{CUT_RATE_WINDOW_MS, ComponentSet, CrashLedger, CutRequest};
+pub use engine_speed::{EngineSpeed, StreamMark, TrackedSpeed, UsualSpeed};
 pub use health::{Health, HealthSample};
-pub use load_tracker::{LoadTracker, RunKey, TrackedLoad};
+pub use load_tracker::{LoadTracker, RunKey, StreamStart, TrackedLoad};
 pub use objective::Weights;
 pub use pause::{WaitBounds, is_worth_waiting};
 pub use pool::{
--- a/tests/engine_speed.rs
+++ b/tests/engine_speed.rs
@@ -10,8 +10,8 @@
 use clock::Millis;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{
-    AnnouncedAt, Costs, LoadTracker, PickRequest, Pool, RunKey, TrackedLoads,
-    digest_text, prefix_digests,
+    AnnouncedAt, Costs, LoadTracker, PickRequest, Pool, RunKey, StreamStart,
+    TrackedLoads, UsualSpeed, digest_text, prefix_digests,
 };
 
 use crate::util::endpoints::endpoint;
@@ -162,6 +162,8 @@
     slowness: [f64; 3],
     /// Factor of the large model's prompts.
     large_prompts: f64,
+    /// Whether the engines' speed is learned.
+    learn: bool,
 }
 
 impl Default for Setup {
@@ -170,6 +172,7 @@
             load: 0.55,
             slowness: SLOWNESS,
             large_prompts: 1.0,
+            learn: false,
         }
     }
 }
@@ -237,7 +240,11 @@
     let mut engines: Vec<Engine> = (0..ENGINES)
         .map(|i| Engine::new(setup.slowness[i % 3]))
         .collect();
-    let mut pool = Pool::new(Costs::default());
+    let usual = UsualSpeed::default();
+    let mut pool = Pool::new(Costs {
+        learned: setup.learn.then_some(usual),
+        ..Costs::default()
+    });
     for i in 0..ENGINES {
         let engine = Endpoint {
             ..endpoint(&name(i))
@@ -245,6 +252,9 @@
         pool.announce(engine, AnnouncedAt::default());
     }
     let mut tracker = LoadTracker::new(60.0);
+    if setup.learn {
+        tracker = tracker.with_speeds(usual);
+    }
     let capacity: f64 = engines.iter().map(|engine| 1.0 / engine.slowness).sum();
     let mean_ms: f64 = (0..3)
         .map(|m| {
@@ -274,6 +284,9 @@
         let tokens = PROMPT_TOKENS[model] * (normal(&mut rng) * 0.5).exp() * factor;
         let output = OUTPUT_TOKENS * (normal(&mut rng) * 0.7).exp();
         let output = output.clamp(2.0, f64::from(OUTPUT_MAX)) as u32;
+        // Right at the median and often far off.
+        let hint = f64::from(output) * (normal(&mut rng) * 0.7).exp();
+        let hint = hint.clamp(1.0, f64::from(OUTPUT_MAX)) as u32;
         let parts = prefix_digests([(number, tokens as u32), (number, 1)]);
         let request = PickRequest {
             service: "s",
@@ -282,6 +295,7 @@
             pace: PACES[model],
             parts: &parts,
             tokens_in: tokens as u32,
+            expected_output: hint,
             ..PickRequest::default()
         };
         let now = Millis(10_000 + now_ms as u64);
@@ -293,7 +307,14 @@
         let id = pick.endpoint.id.clone();
         let chosen = (0..ENGINES).find(|i| name(*i) == id).expect("a known id");
         let scaled = (tokens * PACES[model]) as u32;
-        tracker.record_start(digest_text(&id), key(number), scaled, &[], now);
+        let start = StreamStart {
+            prefill_tokens: scaled,
+            prefixes: &[],
+            pace: PACES[model],
+            expected_output: hint,
+            born_ms: 1,
+        };
+        tracker.record_stream_start(digest_text(&id), key(number), &start, now);
         figures.prompts[chosen % 3] += 1;
         engines[chosen].waiting.push_back(Stream {
             number,
@@ -335,7 +356,16 @@
                 tracker.record_prefill_end(digest, key(number), at);
             }
             Report::Ended(stream, at_ms) => {
-                tracker.record_end(digest, key(stream.number));
+                let took_ms = (at_ms - stream.first_ms) as u32;
+                let at = Millis(10_000 + at_ms as u64);
+                let tokens = stream.sent - 1;
+                tracker.record_stream_end(
+                    digest,
+                    key(stream.number),
+                    tokens,
+                    took_ms,
+                    at,
+                );
                 if stream.arrived_ms < DURATION_MS / 10.0 {
                     continue;
                 }
@@ -369,3 +399,20 @@
     let [fast, _, slow] = usual.late_by_speed();
     assert!(slow > fast * 1.2, "{}", usual.text());
 }
+
+#[test]
+fn scan() {
+    for load in [0.4, 0.55, 0.65, 0.7, 0.8, 0.85] {
+        for learn in [false, true] {
+            let f = replay(
+                Setup {
+                    load,
+                    learn,
+                    ..Setup::default()
+                },
+                1,
+            );
+            println!("{load} {learn} {}", f.text());
+        }
+    }
+}
