Refuse streams that cannot end in time, or use a smaller model

Cause: a request whose answer could not end before its deadline was sent nevertheless, and its work was lost.

Change: with place.learn_speeds, the gateway predicts before the first attempt when the answer ends, tries smaller models where it chooses the model, and refuses the request (503, cannot_end_in_time, Retry-After) if no answer would end in time. The histogram currantbank_prediction_error compares predicted and actual times.

Result: a gateway alone and ten gateways that each sent one or two streams refuse a stream of 600 tokens at an endpoint that takes 20 ms a token, with 6 s left; without the setting it is sent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -200,10 +200,26 @@
                 *last = now;
                 events.count = events.count.saturating_add(count_events(bytes));
             }
-            None => events.times = Some((now, now)),
+            None => {
+                events.times = Some((now, now));
+                self.record_error("first", self.pick.wait_ms);
+            }
         }
     }
 
+    /// Records the error of the prediction of a stream that has ended.
+    pub fn record_whole(&self) {
+        if let (Some(whole_ms), Some(_)) = (self.pick.whole_ms, self.events) {
+            self.record_error("whole", whole_ms);
+        }
+    }
+
+    fn record_error(&self, label: &str, predicted_ms: u64) {
+        let took_ms = self.since_start_ms().max(1);
+        let ratio = predicted_ms as f64 / took_ms as f64;
+        self.gateway.stats.ratio("prediction_error", label, ratio);
+    }
+
     /// Returns how the run ended, for the endpoint's tracker.
     fn end_event(&self) -> RunEvent {
         let Some(events) = self.events else {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -163,6 +163,7 @@
 
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
+            source.in_flight.record_whole();
             source
                 .in_flight
                 .record_health(HealthSample::Success, "answered");
--- a/crates/route/src/engine_speed.rs
+++ b/crates/route/src/engine_speed.rs
@@ -56,6 +56,12 @@
 /// requests were refused in that simulation, and as many streams were late.
 const LATE_SHARE: f64 = 1.25;
 
+/// Whether an answer that is predicted to take `predicted_ms` ends within the time left,
+/// allowing for the error of the prediction.
+pub fn ends_in_time(predicted_ms: u64, left_ms: u64) -> bool {
+    predicted_ms as f64 <= left_ms as f64 * IN_TIME_SHARE
+}
+
 /// Chooses among models by the predicted times to the end of their answers, the preferred
 /// model first: the first one that ends in time, or the fastest one unless it is well over
 /// the time left, `left_ms`. Returns its index, or `None` if no answer would end in time.
@@ -67,7 +73,8 @@
     first.or_else(|| {
         let fastest = predicted_ms.iter().enumerate().min_by_key(|(_, ms)| **ms);
         let (index, ms) = fastest?;
-        within(*ms, LATE_SHARE).then_some(index)
+        let is_possible = *ms as f64 <= left_ms as f64 * LATE_SHARE;
+        is_possible.then_some(index)
     })
 }
 
--- a/tests/engine_speed.rs
+++ b/tests/engine_speed.rs
@@ -15,7 +15,15 @@
     prefix_digests,
 };
 
-use crate::util::endpoints::endpoint;
+use standin::{Action, ScriptedEndpoint};
+
+use crate::{
+    load_tracking::start_fleet,
+    util::{
+        endpoints::endpoint,
+        gateway_harness::{GatewayProcess, Reply, TestPlatform, request, send},
+    },
+};
 
 /// Time of a step without streams at pace 1, ms.
 const STEP_MS: f64 = 3.8;
@@ -588,3 +596,83 @@
     assert_eq!(choose_in_time(&[2_000, 1_300], 1_000), None);
     assert_eq!(choose_in_time(&[], 1_000), None);
 }
+
+/// Settings by which a token of the smallest model takes 6 ms; the endpoints of the
+/// following tests take 20 ms.
+const LEARNING: &str = "[place]\nlearn_speeds = yes\ntoken_us = 20000\n";
+
+/// Tokens that take longer than the route's timeout of 6 s, but not by the settings.
+const LONG: u32 = 600;
+
+fn draft_text(id: &str, hint: u32, max: u32) -> String {
+    let headers = format!(
+        "x-model: *\r\nx-token-usage: 100,{max}\r\nx-length-hint: {hint}\r\nx-prompt-prefix: a1:60,b2:40\r\n"
+    );
+    request("POST", "/draft/", id, &headers, "x")
+}
+
+async fn draft(gateway: &GatewayProcess, id: &str, hint: u32, max: u32) -> Reply {
+    send(gateway.callers, &draft_text(id, hint, max)).await
+}
+
+/// Sends streams of 30 tokens through all gateways in turn.
+async fn send_short(gateways: &[GatewayProcess]) {
+    let mut streams = tokio::task::JoinSet::new();
+    for number in 0..12 {
+        let callers = gateways[number % gateways.len()].callers;
+        let text = draft_text(&format!("a{number}"), 30, 100);
+        streams.spawn(async move { send(callers, &text).await });
+    }
+    for reply in streams.join_all().await {
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+}
+
+/// A stream that is known to end after its deadline is refused before it runs, and one
+/// whose maximum output is short is not, whatever its caller estimates.
+#[tokio::test]
+async fn stream_that_cannot_end_in_time_is_refused() {
+    let platform = TestPlatform::start().await;
+    let engine = ScriptedEndpoint::start(Action::Stream(30)).await;
+    platform.announce("e1", "engine", &engine);
+    let gateway = platform.gateway(LEARNING).await;
+    let before = draft(&gateway, "b1", LONG, 1_000).await;
+    assert_eq!(before.status, 200, "nothing is known yet: {before:?}");
+    send_short(std::slice::from_ref(&gateway)).await;
+    let received = engine.received().len();
+    let refused = draft(&gateway, "b2", LONG, 1_000).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.header("retry-after").is_some(), "{refused:?}");
+    gateway.wait_logged("outcome=cannot_end_in_time").await;
+    assert_eq!(engine.received().len(), received, "it ran");
+    let short = draft(&gateway, "b3", LONG, 40).await;
+    assert_eq!(short.status, 200, "{short:?}");
+}
+
+/// Without the setting, the estimate of the output changes nothing.
+#[tokio::test]
+async fn no_stream_is_refused_without_the_setting() {
+    let platform = TestPlatform::start().await;
+    let engine = ScriptedEndpoint::start(Action::Stream(30)).await;
+    platform.announce("e1", "engine", &engine);
+    let gateway = platform.gateway("").await;
+    send_short(std::slice::from_ref(&gateway)).await;
+    let reply = draft(&gateway, "b1", 1_000_000, 1_000_000).await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+}
+
+/// In a large fleet, each gateway has sent a stream or two, and all know the speed.
+#[tokio::test]
+async fn speed_is_learned_from_the_requests_of_all_gateways() {
+    let platform = TestPlatform::start().await;
+    let engine = ScriptedEndpoint::start(Action::Stream(30)).await;
+    platform.announce("e1", "engine", &engine);
+    let gateways = start_fleet(&platform, LEARNING).await;
+    send_short(&gateways).await;
+    let received = engine.received().len();
+    for (number, gateway) in gateways.iter().enumerate() {
+        let refused = draft(gateway, &format!("c{number}"), LONG, 1_000).await;
+        assert_eq!(refused.status, 503, "gateway {number}: {refused:?}");
+    }
+    assert_eq!(engine.received().len(), received, "one ran");
+}
--- a/tests/load_tracking.rs
+++ b/tests/load_tracking.rs
@@ -296,7 +296,7 @@
     ];
     platform.announce("e1", "engine", &engines[0]);
     platform.announce("e2", "engine", &engines[1]);
-    let gateways = start_fleet(&platform).await;
+    let gateways = start_fleet(&platform, "").await;
     let headers =
         "x-model: m1\r\nx-token-usage: 9000,40\r\nx-prompt-prefix: a1:60,b2:8940\r\n";
     let mut replies = Vec::new();
@@ -319,19 +319,23 @@
     engines.iter().map(|engine| engine.received().len()).sum()
 }
 
-/// Starts gateways on addresses of their own that have heard each other.
-async fn start_fleet(platform: &TestPlatform) -> Vec<GatewayProcess> {
+/// Starts gateways on addresses of their own that have heard each other, with more
+/// `sections` of settings.
+pub async fn start_fleet(
+    platform: &TestPlatform,
+    sections: &str,
+) -> Vec<GatewayProcess> {
     let first = GatewayProcess::start(
         &platform.dir,
         platform.log.address,
-        "peer_listen = 127.0.0.1:0\n",
+        &format!("peer_listen = 127.0.0.1:0\n{sections}"),
     );
     let port = first.peer_address.port();
     let known = first.peer_address;
     let mut fleet = vec![first];
     for number in 2..=LARGE {
         let settings = format!(
-            "peer_listen = 127.0.0.{number}:{port}\n[peers]\naddresses = {known}\n"
+            "peer_listen = 127.0.0.{number}:{port}\n[peers]\naddresses = {known}\n{sections}"
         );
         let gateway =
             GatewayProcess::start(&platform.dir, platform.log.address, &settings);
