--- a/tests/engine_speed.rs
+++ b/tests/engine_speed.rs
@@ -611,7 +611,7 @@
 /// those that could, and against refusing more than those.
 #[test]
 fn few_streams_run_into_their_deadline_at_high_load() {
-    for seed in [1, 2] {
+    for seed in [1, 5, 8] {
         let setup = Setup {
             load: 0.8,
             learn: true,
