Test the bounds and the failure of learned speeds

Change: tests that a told speed holds without a tracker and is forgotten at a restart, that it changes nothing in a pool that does not learn, that the datagrams are bounded and those of the version before unchanged, and that the expected output is capped.

--- a/tests/engine_speed.rs
+++ b/tests/engine_speed.rs
@@ -8,13 +8,15 @@
 
 use catalog::Endpoint;
 use clock::Millis;
+use gateway::{
+    Datagram, LoadAnswer, LoadReport, RunEvent, SpeedAnswer, decode_datagram,
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{
     AnnouncedAt, Costs, EngineSpeed, LoadTracker, Pick, PickRequest, Pool, RunKey,
-    StreamStart, TrackedLoads, TrackedSpeed, UsualSpeed, choose_in_time, digest_text,
-    prefix_digests,
+    StepSpeed, StreamStart, TrackedLoad, TrackedLoads, TrackedSpeed, UsualSpeed,
+    choose_in_time, digest_text, prefix_digests,
 };
-
 use standin::{Action, ScriptedEndpoint};
 
 use crate::{
@@ -635,6 +637,128 @@
     assert_eq!(choose_in_time(&[], 1_000), None);
 }
 
+/// A speed by which everything takes `milli` thousandths of the usual time.
+fn told_speed(milli: u32) -> TrackedSpeed {
+    let mut speed = TrackedSpeed {
+        prefill_milli: milli,
+        ..TrackedSpeed::default()
+    };
+    speed.steps[0] = StepSpeed {
+        pace_milli: 1_000,
+        token_milli: milli,
+        token_running_milli: milli,
+    };
+    speed
+}
+
+/// The tracker of an engine is lost: what it told last holds for some time, until the
+/// engine restarts.
+#[test]
+fn told_speed_holds_while_no_tracker_answers() {
+    let mut pool = Pool::new(Costs {
+        learned: Some(UsualSpeed::default()),
+        ..Costs::default()
+    });
+    for i in 0..2 {
+        pool.announce(endpoint(&name(i)), AnnouncedAt::default());
+    }
+    let parts = prefix_digests([(1, 3_000), (2, 1_000)]);
+    let request = PickRequest {
+        service: "s",
+        failure_domain: "a",
+        pace: 1.0,
+        parts: &parts,
+        tokens_in: 4_000,
+        expected_output: 100,
+        ..PickRequest::default()
+    };
+    let now = Millis(100_000);
+    let first = pool.pick(&request, now).expect("an engine").endpoint;
+    let usual_ms = pool.pick(&request, now).and_then(|pick| pick.whole_ms);
+    pool.set_speed(digest_text(&first.id), told_speed(5_000), now);
+    let other = pool.pick(&request, now.plus(1_000)).expect("an engine");
+    assert_ne!(other.endpoint.id, first.id, "the slow one was picked");
+    let later = pool.pick(&request, now.plus(60_000)).expect("an engine");
+    assert_eq!(later.endpoint.id, first.id, "it is tried again");
+    let restarted = Endpoint {
+        born_ms: 2,
+        ..first.clone()
+    };
+    pool.announce(restarted, AnnouncedAt::default());
+    let again = pool.pick(&request, now.plus(1_000)).expect("an engine");
+    assert_eq!(again.endpoint.id, first.id, "another machine is not slow");
+    assert_eq!(again.whole_ms, usual_ms);
+}
+
+/// Without the setting, no gateway predicts whole answers, and what a tracker tells of
+/// speeds changes no choice.
+#[test]
+fn speeds_change_nothing_in_a_pool_that_does_not_learn() {
+    let mut pool = Pool::new(Costs::default());
+    pool.announce(endpoint("e1"), AnnouncedAt::default());
+    let parts = prefix_digests([(1, 3_000), (2, 1_000)]);
+    let request = PickRequest {
+        service: "s",
+        failure_domain: "a",
+        pace: 1.0,
+        parts: &parts,
+        tokens_in: 4_000,
+        ..PickRequest::default()
+    };
+    let now = Millis(100_000);
+    let before = pool.pick(&request, now);
+    pool.set_speed(digest_text("e1"), told_speed(5_000), now);
+    assert_eq!(pool.pick(&request, now), before);
+    assert_eq!(before.and_then(|pick| pick.whole_ms), None);
+}
+
+/// Datagrams are not authenticated, and gateways of the version before are in the fleet
+/// during an upgrade: values out of bounds are rejected, and without the setting an
+/// answer is encoded as before.
+#[test]
+fn speeds_are_bounded_and_sent_apart_from_loads() {
+    let load = TrackedLoad {
+        running: 3,
+        prefill_tokens: 5,
+        cached_parts: 1,
+        delay_ms: 7,
+        speed: told_speed(5_000),
+    };
+    let answer = LoadAnswer {
+        number: 9,
+        loads: vec![(8, load)],
+    };
+    let encode = |datagram: &Datagram| postcard::to_stdvec(datagram).expect("encodes");
+    let bytes = encode(&Datagram::LoadAnswer(answer.clone()));
+    assert_eq!(bytes, [3, 9, 1, 8, 3, 5, 1, 7]);
+    let told = |speeds| {
+        let answer = answer.clone();
+        encode(&Datagram::SpeedAnswer(SpeedAnswer { answer, speeds }))
+    };
+    assert!(decode_datagram(&told(vec![told_speed(5_000)])).is_some());
+    assert!(decode_datagram(&told(vec![told_speed(10_001)])).is_none());
+    assert!(decode_datagram(&told(vec![told_speed(99)])).is_none());
+    assert!(decode_datagram(&told(vec![])).is_none());
+    let started = |pace_milli, expected_output| {
+        let event = RunEvent::StreamStarted {
+            tokens: 1,
+            prefixes: vec![],
+            pace_milli,
+            expected_output,
+            born_ms: 1,
+        };
+        let report = LoadReport {
+            endpoint: 8,
+            key: key(1),
+            event,
+        };
+        decode_datagram(&encode(&Datagram::LoadReport(report)))
+    };
+    assert!(started(3_000, 400).is_some());
+    assert!(started(1_000_001, 400).is_none());
+    assert!(started(3_000, 1_000_001).is_none());
+}
+
 /// Settings by which a token of the smallest model takes 6 ms; the endpoints of the
 /// following tests take 20 ms.
 const LEARNING: &str = "[place]\nlearn_speeds = yes\ntoken_us = 20000\n";
