Learn the rate of prefill from prompts that are long enough

Cause: a prompt whose prefix is cached takes hardly longer than a step. Many such prompts made an engine look up to ten times slower.

Change: prompts that are expected to take under 3 ms make no sample. A test sends 1,000 of them.

--- a/crates/route/src/engine_speed.rs
+++ b/crates/route/src/engine_speed.rs
@@ -29,6 +29,11 @@
 /// short prompt takes consists mostly of steps and the network.
 const PREFILL_SAMPLE_MS: f64 = 25.0;
 
+/// Minimum expected time of a prompt that counts toward a sample, ms. What a shorter one
+/// takes is mostly the step that it waits for: with its prefix cached, a prompt of 20 tokens
+/// would make an engine look ten times slower.
+const PREFILL_MIN_MS: f64 = 3.0;
+
 /// Minimum number of output tokens of a stream that makes a sample.
 const DECODE_SAMPLE_TOKENS: f64 = 8.0;
 
@@ -60,7 +65,7 @@
 
 /// Share of the time left within which an answer must be predicted to end for its model to
 /// be used. In the simulation of `tests/engine_speed.rs` at high load, 0.42% to 0.56% of the
-/// streams ran into their deadline with 0.8, and 0.29% to 0.46% with 0.75.
+/// streams ran into their deadline with 0.8, and 0.35% to 0.46% with 0.75.
 const IN_TIME_SHARE: f64 = 0.75;
 
 /// Share of the time left beyond which an answer is not started. With 1.0, twice as many
@@ -435,6 +440,10 @@
         // after the one before.
         let begun = started.max(self.last_prefill_end);
         self.last_prefill_end = self.last_prefill_end.max(now);
+        if expected_ms < PREFILL_MIN_MS {
+            return;
+        }
+        // Includes the steps between its chunks, which also delay the prompts behind it.
         self.prompts_expected_ms += expected_ms;
         self.prompts_took_ms += now.since(begun) as f64;
         if self.prompts_expected_ms >= PREFILL_SAMPLE_MS {
--- a/tests/engine_speed.rs
+++ b/tests/engine_speed.rs
@@ -523,6 +523,20 @@
     assert_eq!(speed.known(now).prefill_factor(), 1.0);
 }
 
+/// Prompts whose prefix is cached take hardly longer than a step, whatever the rate of
+/// prefill: they must not make an engine look slow.
+#[test]
+fn short_prompts_tell_nothing_of_the_rate_of_prefill() {
+    let mut now = Millis(10_000);
+    let mut speed = EngineSpeed::new(UsualSpeed::default(), 1, now);
+    for _ in 0..1_000 {
+        let started = now;
+        now = now.plus(8);
+        speed.record_prefill(20.0, started, now);
+    }
+    assert_eq!(speed.known(now).prefill_factor(), 1.0);
+}
+
 /// Reports are not authenticated: a learned value stays within a tenth and ten times the
 /// setting, and any sequence of reports leaves what other gateways accept.
 #[test]
