--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission_queue;
 mod cascade;
 mod crash_ledger;
+mod engine_speed;
 mod evacuation;
 mod health;
 mod load_tracker;
@@ -37,9 +38,13 @@
 };
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
 pub use crash_ledger::{CUT_RATE_WINDOW_MS, ComponentSet, CrashLedger, CutRequest};
+pub use engine_speed::{
+    EngineSpeed, StepSpeed, StreamMark, TrackedSpeed, UsualSpeed, choose_in_time,
+    ends_in_time,
+};
 pub use evacuation::{EvacuationChange, EvacuationSource, Evacuations, TopicPosition};
 pub use health::{Health, HealthSample};
-pub use load_tracker::{LoadTracker, RunKey, TrackedLoad};
+pub use load_tracker::{LoadTracker, RunKey, StreamStart, TrackedLoad};
 pub use objective::Weights;
 pub use pause::{WaitBounds, is_worth_waiting};
 pub use pool::{
