Decide by shares how much load goes to other failure domains

Cause: a constant of 2 ms decides between domains. Gateways that all see the same idle domain with a delay send there together, and most requests cross. Change: route::domain_spill keeps a share by service and other domain. It follows the mean gain of the requests that home has no room for, by bounded steps, under a bound that falls when the other domain has no room. A request is sent away only if it pays for itself after the price of its bytes, and never where no load is known unless home cannot take it at all. Not used by the pool yet.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod cascade;
 mod crash_ledger;
+mod domain_spill;
 mod health;
 mod load_tracker;
 mod objective;
@@ -30,6 +31,7 @@
 pub use admission::{Admission, AdmissionError, PoolCapacity};
 pub use cascade::{CascadePolicy, PassRates, StepCosts};
 pub use crash_ledger::{CUT_RATE_WINDOW_MS, ComponentSet, CrashLedger, CutRequest};
+pub use domain_spill::{CrossReason, DomainOffer, DomainSpill, ShareChange};
 pub use health::{Health, HealthSample};
 pub use load_tracker::{LoadTracker, RunKey, TrackedLoad};
 pub use objective::Weights;
--- /dev/null
+++ b/tests/domain_spill.rs
@@ -0,0 +1,421 @@
+//! Spillover to other failure domains: the shares under the load that they are made
+//! for, with simulated time.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    f64::consts::TAU,
+};
+
+use clock::Millis;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use route::{CrossReason, DomainOffer, DomainSpill};
+
+const DOMAINS: usize = 3;
+
+/// Gateways of each domain.
+const GATEWAYS: usize = 20;
+
+/// Time after which all gateways learn the load of an endpoint, ms.
+const KNOWN_AFTER_MS: u64 = 200;
+
+/// Engine time of a request whose prefix is cached, ms, and of one whose is not.
+const CACHED_MS: f64 = 10.0;
+const UNCACHED_MS: f64 = 25.0;
+
+/// Time for which a prefix stays cached, ms.
+const PREFIX_KEPT_MS: u64 = 12_000;
+
+/// Price of a crossing of each request, by 20 kB and 1,000 ms a MB, ms.
+const BYTES: u64 = 20_000;
+const MS_PER_MB: f64 = 1_000.0;
+
+/// Time of a crossing and back, ms.
+const CROSSING_MS: f64 = 2.0;
+
+/// How a gateway chooses the domain of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Rule {
+    /// The lowest predicted cost with a constant for the crossing.
+    Constant,
+    /// [`DomainSpill`].
+    Shares,
+    /// Every request stays in its domain.
+    Home,
+}
+
+/// Demand of a domain at a time, relative to what its engines can serve.
+type Demand = fn(usize, f64) -> f64;
+
+/// Moves by 55% of its maximum within 17 s, in another phase in each domain.
+fn moving_demand(domain: usize, second: f64) -> f64 {
+    let phase = domain as f64 / DOMAINS as f64;
+    0.75 * (1.0 + 0.38 * (TAU * (second / 34.0 + phase)).sin())
+}
+
+/// Domain 0 has half more than it can serve, from 10 s to 40 s; the others have room.
+fn one_overloaded(domain: usize, second: f64) -> f64 {
+    match domain {
+        0 if (10.0..40.0).contains(&second) => 1.5,
+        _ => 0.6,
+    }
+}
+
+/// Domain 0 has more than all domains together can serve, from 10 s to 40 s.
+fn one_beyond_all(domain: usize, second: f64) -> f64 {
+    match domain {
+        0 if (10.0..40.0).contains(&second) => 3.0,
+        _ => 0.6,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    /// Delays by the domain in which the request arrived, ms.
+    delays: [Vec<f64>; DOMAINS],
+    crossed_bytes: u64,
+    crossed: [u32; DOMAINS],
+    /// Requests that crossed, by second.
+    crossed_by_second: Vec<u32>,
+    /// Mean share of the gateways of domain 0 that goes elsewhere, every 200 ms.
+    shares: Vec<f64>,
+}
+
+impl Outcome {
+    fn mean_ms(&self) -> f64 {
+        let all: Vec<f64> = self.delays.iter().flatten().copied().collect();
+        all.iter().sum::<f64>() / all.len() as f64
+    }
+
+    fn percentile_ms(&self, domains: std::ops::Range<usize>, part: f64) -> f64 {
+        let mut all: Vec<f64> =
+            self.delays[domains].iter().flatten().copied().collect();
+        all.sort_by(f64::total_cmp);
+        all[((all.len() - 1) as f64 * part) as usize]
+    }
+}
+
+/// One engine for each domain, which works on its queue at a constant rate.
+struct Engines {
+    free_at: [f64; DOMAINS],
+    /// Queues as they were, for the gateways that learn them late.
+    seen: VecDeque<(u64, [f64; DOMAINS])>,
+    prefixes: [HashMap<u64, u64>; DOMAINS],
+}
+
+impl Engines {
+    fn backlog_ms(&self, domain: usize, now: u64) -> f64 {
+        (self.free_at[domain] - now as f64).max(0.0)
+    }
+
+    fn is_cached(&self, domain: usize, prefix: u64, now: u64) -> bool {
+        let used = self.prefixes[domain].get(&prefix);
+        used.is_some_and(|used| now - used < PREFIX_KEPT_MS)
+    }
+}
+
+/// What a gateway has sent since the load that it knows was true.
+#[derive(Clone, Default)]
+struct Sent(VecDeque<(u64, usize, f64)>);
+
+fn replay(rule: Rule, demand: Demand, is_load_known: bool, seconds: u64) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut outcome = Outcome::default();
+    let mut engines = Engines {
+        free_at: [0.0; DOMAINS],
+        seen: VecDeque::new(),
+        prefixes: Default::default(),
+    };
+    let mut spills = vec![DomainSpill::new(MS_PER_MB); DOMAINS * GATEWAYS];
+    let mut sents = vec![Sent::default(); DOMAINS * GATEWAYS];
+    let names = ["a", "b", "c"];
+    for now in 0..seconds * 1_000 {
+        let backlogs = std::array::from_fn(|domain| engines.backlog_ms(domain, now));
+        if now % KNOWN_AFTER_MS == 0 {
+            engines.seen.push_back((now, backlogs));
+            if engines.seen.len() > 2 {
+                engines.seen.pop_front();
+            }
+            let shares = spills[..GATEWAYS].iter().map(|spill| {
+                let others = names[1..].iter();
+                others
+                    .map(|domain| spill.share("s", domain, Millis(now)))
+                    .sum::<f64>()
+            });
+            outcome.shares.push(shares.sum::<f64>() / GATEWAYS as f64);
+            outcome
+                .crossed_by_second
+                .resize((now / 1_000) as usize + 1, 0);
+        }
+        for domain in 0..DOMAINS {
+            let rate = demand(domain, now as f64 / 1_000.0) / CACHED_MS;
+            if !rng.random_bool(rate.clamp(0.0, 1.0)) {
+                continue;
+            }
+            let gateway = domain * GATEWAYS + rng.random_range(0..GATEWAYS);
+            let prefix: u64 = rng.random_range(0..60);
+            let (seen_at, seen) = engines.seen[0];
+            let sent = &mut sents[gateway];
+            sent.0.retain(|(at, _, _)| *at >= seen_at);
+            let offers: Vec<DomainOffer> = (0..DOMAINS)
+                .map(|other| {
+                    let own = sent.0.iter().filter(|(_, to, _)| *to == other);
+                    let own: f64 = own.map(|(_, _, work)| work).sum();
+                    let wait_ms = seen[other] + own;
+                    let work_ms = match engines.is_cached(other, prefix, now) {
+                        true => CACHED_MS,
+                        false => UNCACHED_MS,
+                    };
+                    let crossing_ms = if other == domain { 0.0 } else { CROSSING_MS };
+                    DomainOffer {
+                        domain: names[other].to_owned(),
+                        wait_ms: wait_ms + work_ms + crossing_ms,
+                        cost_ms: wait_ms + work_ms * 3.0 + crossing_ms,
+                        has_room: wait_ms <= 50.0,
+                        is_load_known,
+                    }
+                })
+                .collect();
+            let mut others = offers.clone();
+            let home = others.remove(domain);
+            let chosen = match rule {
+                Rule::Home => domain,
+                Rule::Constant => (0..DOMAINS)
+                    .min_by(|a, b| offers[*a].cost_ms.total_cmp(&offers[*b].cost_ms))
+                    .unwrap(),
+                Rule::Shares => {
+                    let spill = &mut spills[gateway];
+                    let random = rng.random();
+                    let now = Millis(now);
+                    let choice =
+                        spill.choose("s", Some(&home), &others, BYTES, random, now);
+                    spill.record("s", &home, &others, BYTES, now);
+                    choice.map_or(domain, |(index, _)| {
+                        names
+                            .iter()
+                            .position(|name| *name == others[index].domain)
+                            .unwrap()
+                    })
+                }
+            };
+            let work_ms = match engines.is_cached(chosen, prefix, now) {
+                true => CACHED_MS,
+                false => UNCACHED_MS,
+            };
+            engines.prefixes[chosen].insert(prefix, now);
+            sents[gateway].0.push_back((now, chosen, work_ms));
+            let free_at = engines.free_at[chosen].max(now as f64) + work_ms;
+            engines.free_at[chosen] = free_at;
+            let crossing_ms = if chosen == domain { 0.0 } else { CROSSING_MS };
+            outcome.delays[domain].push(free_at - now as f64 + crossing_ms);
+            if chosen != domain {
+                outcome.crossed_bytes += BYTES;
+                outcome.crossed[domain] += 1;
+                outcome.crossed_by_second[(now / 1_000) as usize] += 1;
+            }
+        }
+    }
+    outcome
+}
+
+/// Mean and standard deviation.
+fn spread(values: &[f64]) -> (f64, f64) {
+    let count = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / count;
+    let variance = values.iter().map(|value| (value - mean).powi(2));
+    (mean, (variance.sum::<f64>() / count).sqrt())
+}
+
+/// With a constant for the crossing, gateways that all see the same idle domain send
+/// there together, and most requests cross.
+#[test]
+fn moving_demand_crosses_less_and_waits_no_longer() {
+    let constant = replay(Rule::Constant, moving_demand, true, 68);
+    let shares = replay(Rule::Shares, moving_demand, true, 68);
+    let home = replay(Rule::Home, moving_demand, true, 68);
+    let (constant_ms, shares_ms) = (constant.mean_ms(), shares.mean_ms());
+    assert!(shares_ms < constant_ms, "{shares_ms} {constant_ms}");
+    assert!(shares_ms < home.mean_ms(), "{shares_ms} {}", home.mean_ms());
+    let (constant_bytes, shares_bytes) = (constant.crossed_bytes, shares.crossed_bytes);
+    assert!(
+        shares_bytes * 4 < constant_bytes,
+        "{shares_bytes} {constant_bytes}"
+    );
+}
+
+/// A share that follows what was seen some time ago can rise and fall in turn without
+/// end.
+#[test]
+fn shares_converge_under_a_constant_overload() {
+    let outcome = replay(Rule::Shares, one_overloaded, true, 40);
+    let settled = &outcome.shares[75..200];
+    let (mean, deviation) = spread(settled);
+    assert!(mean > 0.1 && deviation < mean * 0.4, "{mean} {deviation}");
+    let crossed = outcome.crossed_by_second[15..40].iter();
+    let crossed: Vec<f64> = crossed.map(|count| f64::from(*count)).collect();
+    let (mean, deviation) = spread(&crossed);
+    assert!(deviation < mean * 0.4, "{mean} {deviation}");
+}
+
+/// One domain has more than all domains can serve: without a bound, the requests of all
+/// domains would wait for seconds.
+#[test]
+fn overload_of_one_domain_leaves_the_others_served() {
+    let before = replay(Rule::Home, one_beyond_all, true, 60);
+    let shares = replay(Rule::Shares, one_beyond_all, true, 60);
+    let constant = replay(Rule::Constant, one_beyond_all, true, 60);
+    for domain in 1..DOMAINS {
+        let own_ms = shares.percentile_ms(domain..domain + 1, 0.95);
+        let before_ms = before.percentile_ms(domain..domain + 1, 0.95);
+        let constant_ms = constant.percentile_ms(domain..domain + 1, 0.95);
+        assert!(own_ms < before_ms + 100.0, "{own_ms} {before_ms}");
+        assert!(own_ms * 10.0 < constant_ms, "{own_ms} {constant_ms}");
+    }
+    assert!(shares.crossed[0] > 1_000, "what has room is used");
+}
+
+/// Traffic that stayed away after an overload would cost money for nothing.
+#[test]
+fn traffic_returns_home_when_there_is_room() {
+    let outcome = replay(Rule::Shares, one_overloaded, true, 60);
+    let during: u32 = outcome.crossed_by_second[12..40].iter().sum();
+    let after: u32 = outcome.crossed_by_second[43..].iter().sum();
+    assert!(during > 500, "{during}");
+    // Bursts of the usual load still find no room now and then.
+    assert!(after * 50 < during, "{after} {during}");
+    let home = offer("a", 500.0, false, true);
+    let other = offer("b", 20.0, true, true);
+    let spill = risen(&home, &other);
+    let choose = |home| {
+        spill.choose("s", Some(home), std::slice::from_ref(&other), 0, 0.0, RISEN)
+    };
+    assert!(choose(&home).is_some());
+    assert_eq!(choose(&offer("a", 500.0, true, true)), None, "at once");
+}
+
+fn offer(domain: &str, ms: f64, has_room: bool, is_load_known: bool) -> DomainOffer {
+    DomainOffer {
+        domain: domain.to_owned(),
+        wait_ms: ms,
+        cost_ms: ms,
+        has_room,
+        is_load_known,
+    }
+}
+
+/// Time at which [`risen`] has recorded its last request.
+const RISEN: Millis = Millis(20_000);
+
+/// Shares after 10 s of the same offers, ten a second.
+fn risen(home: &DomainOffer, other: &DomainOffer) -> DomainSpill {
+    let mut spill = DomainSpill::new(MS_PER_MB);
+    for step in 0..=100 {
+        let now = Millis(10_000 + step * 100);
+        spill.record("s", home, std::slice::from_ref(other), 0, now);
+    }
+    spill
+}
+
+/// The gateways of another domain are cut off: its endpoints look idle, since nobody
+/// tells of their load.
+#[test]
+fn nothing_is_sent_where_no_load_is_known() {
+    let unknown = replay(Rule::Shares, one_overloaded, false, 40);
+    assert_eq!(unknown.crossed, [0; DOMAINS]);
+    // A load that becomes unknown ends the share at once.
+    let home = offer("a", 500.0, false, true);
+    let mut spill = risen(&home, &offer("b", 20.0, true, true));
+    assert!(spill.share("s", "b", RISEN) > 0.5);
+    let silent = offer("b", 20.0, true, false);
+    spill.record("s", &home, std::slice::from_ref(&silent), 0, RISEN);
+    assert_eq!(spill.share("s", "b", RISEN), 0.0);
+    assert_eq!(
+        spill.choose(
+            "s",
+            Some(&home),
+            std::slice::from_ref(&silent),
+            0,
+            0.0,
+            RISEN
+        ),
+        None
+    );
+    // What home cannot take at all goes there still, if there is nothing better.
+    let reason = CrossReason::NoHomeEndpoint;
+    let choose =
+        |others: &[DomainOffer]| spill.choose("s", None, others, BYTES, 0.99, RISEN);
+    assert_eq!(choose(std::slice::from_ref(&silent)), Some((0, reason)));
+    let known = offer("c", 90.0, true, true);
+    assert_eq!(choose(&[silent, known]), Some((1, reason)));
+    assert_eq!(choose(&[]), None);
+}
+
+/// A request is sent away only if the delay that it saves is worth its own bytes.
+#[test]
+fn price_of_a_request_keeps_it_at_home() {
+    let home = offer("a", 500.0, false, true);
+    let other = offer("b", 20.0, true, true);
+    let spill = risen(&home, &other);
+    let choose = |bytes| {
+        spill.choose(
+            "s",
+            Some(&home),
+            std::slice::from_ref(&other),
+            bytes,
+            0.0,
+            RISEN,
+        )
+    };
+    assert_eq!(choose(100_000), Some((0, CrossReason::Overload)));
+    assert_eq!(choose(400_000), None);
+    assert_eq!(
+        spill.choose(
+            "s",
+            Some(&home),
+            std::slice::from_ref(&other),
+            0,
+            0.99,
+            RISEN
+        ),
+        None
+    );
+}
+
+/// Each change by a tenth is one log line, however many requests there are.
+#[test]
+fn changes_of_a_share_are_reported_by_tenths() {
+    let home = offer("a", 500.0, false, true);
+    let other = offer("b", 20.0, true, true);
+    let mut spill = DomainSpill::new(0.0);
+    let mut changes = Vec::new();
+    for ms in 0..10_000 {
+        let others = std::slice::from_ref(&other);
+        changes.extend(spill.record("s", &home, others, 0, Millis(ms)));
+    }
+    assert!((2..=8).contains(&changes.len()), "{changes:?}");
+    for change in &changes {
+        assert!((change.share - change.before).abs() > 0.1, "{change:?}");
+    }
+}
+
+/// Announcements may invent services and domains without end.
+#[test]
+fn number_of_shares_is_bounded() {
+    let home = offer("a", 500.0, false, true);
+    let mut spill = DomainSpill::new(0.0);
+    let record = |spill: &mut DomainSpill, name: &str, now| {
+        spill.record("s", &home, &[offer(name, 20.0, true, true)], 0, Millis(now));
+    };
+    for number in 0..5_000 {
+        for now in [0, 300] {
+            record(&mut spill, &number.to_string(), now);
+        }
+    }
+    let known = (0..5_000)
+        .filter(|number| spill.share("s", &number.to_string(), Millis(300)) > 0.0);
+    assert!(known.count() <= 1_024);
+    // Later ones get a place when the first have expired.
+    for now in [9_000, 9_300] {
+        record(&mut spill, "late", now);
+    }
+    assert!(spill.share("s", "late", Millis(9_300)) > 0.0);
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -15,6 +15,7 @@
 mod crash_ledger;
 mod crashing_part;
 mod crashing_request;
+mod domain_spill;
 mod endless_answer;
 mod endpoint_state;
 mod events;
