Give traffic between failure domains a price

Cause: a gateway sends a request to any domain that is 2 ms better, at no price. Change: setting place.cross_domain_ms_per_mb (default 0: nothing changes). Above 0, the pool keeps requests in their domain, and sends away what the shares of domain_spill allow. The bytes of a request are its body and the mean answer of its route. Prefixes have a home in each domain; three of the five endpoints whose load is asked are of the own domain. A gateway that hears less than three quarters of its peers counts no load of other domains as known. Counters cross_domain and cross_domain_bytes, and log line domain_share. Result: a real gateway with 60 streams at a time at an engine of 8 slots sends a part to an idle engine of another domain, counts it, sends nothing there before and after, and sends everything there when its own is draining. At 0 the picks and candidates equal those of a pool without a price in 400 random picks.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -461,6 +461,9 @@
             return AttemptOutcome::Failed(Failure::MayHaveRun("answer_broken"));
         }
         in_flight.record_prefill_end();
+        self.gateway.record_answer_part(&in_flight.pick, body.len());
+        let sizes = &self.gateway.answer_sizes;
+        sizes.record(&self.req.route().name, body.len() as u64);
         Answer::release_connection(&self.gateway, &in_flight, connection, keep_alive);
         if head.status.is_success() {
             self.gateway
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller_request;
 mod caller_server;
 mod config_fetch;
+mod cross_domain;
 mod cut;
 mod datagram;
 mod dispatch;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,6 +25,9 @@
 /// Number of consecutive statuses that may be lost before a peer counts as silent.
 const MISSED_STATUSES_MAX: u64 = 2;
 
+/// Quarters of the peers that must be heard for the load of endpoints to count as known.
+const HEARD_QUARTERS_MIN: usize = 3;
+
 /// Silence after which a peer is removed unless it is in the settings, ms.
 const PEER_EXPIRY_MS: u64 = 20_000;
 
@@ -64,6 +67,8 @@
     peers: BTreeMap<SocketAddr, Peer>,
     /// Number of statuses sent; selects the next receivers.
     round: usize,
+    /// Whether any peer has been heard since the start, also one removed since.
+    ever_heard: bool,
     /// Requests sent since the last update.
     pending_dispatches: Vec<DispatchNotice>,
     /// Sessions' versions to announce to all peers.
@@ -126,6 +131,7 @@
         let was_fresh = peer.last_heard.is_some_and(|at| now.since(at) <= fresh_ms);
         peer.status = status;
         peer.last_heard = Some(now);
+        self.ever_heard = true;
         !was_fresh
     }
 
@@ -308,6 +314,16 @@
         self.fresh_statuses(now).any(|(address, _)| address == from)
     }
 
+    /// Whether most of the peers are heard, so that their statuses tell the load of the
+    /// endpoints. A gateway that has lost all its peers hears none; one that never had
+    /// any is the whole fleet.
+    pub fn hears_fleet(&self, now: Millis) -> bool {
+        if self.peers.is_empty() {
+            return !self.ever_heard;
+        }
+        self.fresh_statuses(now).count() * 4 >= self.peers.len() * HEARD_QUARTERS_MIN
+    }
+
     /// Sums the peers' requests and their unprocessed tokens by digest of the
     /// endpoint's id.
     pub fn load(&self, now: Millis) -> HashMap<u64, (u32, u32)> {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,6 +2,7 @@
 
 use catalog::RetrySafety;
 use clock::Millis;
+use rand::RngExt;
 use route::{
     PickRequest, VersionFilter, WaitBounds, escalation_size, is_worth_escalating,
     is_worth_waiting,
@@ -37,6 +38,8 @@
                 pool.pick_tracked(&request, &loads, self.gateway.now())?
             };
             if self.gateway.may_send(&pick.endpoint.id).await {
+                let body_bytes = self.req.body.len();
+                self.gateway.record_domains(&request, &pick, body_bytes);
                 return Some(InFlight::new(
                     &self.gateway,
                     pick,
@@ -101,6 +104,9 @@
             tokens_in: self.req.prompt.tokens_in,
             tried: &self.tried,
             versions,
+            bytes: self.req.body.len() as u64
+                + self.gateway.answer_sizes.expected(&self.req.route().name),
+            random: rand::rng().random(),
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -43,6 +43,8 @@
     keep_alive: KeepAlive,
     is_framed: bool,
     has_sent_events: bool,
+    /// Bytes of the body that have arrived.
+    received: u64,
 }
 
 /// A stream that is being forwarded.
@@ -67,6 +69,7 @@
             keep_alive: KeepAlive::of(head),
             is_framed: is_framed(head),
             has_sent_events: false,
+            received: 0,
         };
         Relay {
             dispatch,
@@ -143,6 +146,9 @@
                 Some(Ok(frame)) => {
                     source.in_flight.record_activity();
                     let bytes = frame.into_data().unwrap_or_default();
+                    source.received += bytes.len() as u64;
+                    let gateway = &self.dispatch.gateway;
+                    gateway.record_answer_part(&source.in_flight.pick, bytes.len());
                     if !self.framer.push(&bytes) {
                         return Step::Broken("event_too_long");
                     }
@@ -167,6 +173,8 @@
                 .record_health(HealthSample::Success, "answered");
             let gateway = &self.dispatch.gateway;
             gateway.record_sound(&self.dispatch.req, source.is_framed);
+            let route = &self.dispatch.req.route().name;
+            gateway.answer_sizes.record(route, source.received);
             Answer::release_connection(
                 gateway,
                 &source.in_flight,
@@ -232,6 +240,7 @@
                         keep_alive: KeepAlive::of(&head.headers),
                         is_framed: is_framed(&head.headers),
                         has_sent_events: false,
+                        received: 0,
                     });
                     return true;
                 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    cross_domain::AnswerSizes,
     datagram::LogPositions,
     idle_connections::{IdleConnections, idle_max},
     latency::LatencyBaselines,
@@ -71,6 +72,7 @@
     /// Notified when an update for the peers is queued.
     pub update_pending: Notify,
     pub latency_baselines: LatencyBaselines,
+    pub answer_sizes: AnswerSizes,
     /// Rollouts by service.
     pub rollouts: RefCell<HashMap<String, Rollout>>,
     /// Recorded states of the rollouts.
@@ -128,7 +130,8 @@
             prefill_tokens_per_ms: routing.prefill_tokens_per_ms,
             running_ms: f64::from(routing.running_us) / 1_000.0,
             prefill_weight: f64::from(routing.read_weight_percent) / 100.0,
-        });
+        })
+        .with_cross_domain_price(routing.cross_domain_ms_per_mb);
         let wait_ms = settings.store.poll_wait_ms;
         Gateway {
             settings,
@@ -146,6 +149,7 @@
             peers: RefCell::new(peers),
             update_pending: Notify::new(),
             latency_baselines: LatencyBaselines::default(),
+            answer_sizes: AnswerSizes::default(),
             rollouts: RefCell::default(),
             statuses: RefCell::default(),
             status_end: Cell::default(),
@@ -314,6 +318,7 @@
         let mut pool = self.pool.borrow_mut();
         pool.set_peer_load(&peers.load(now));
         pool.set_peer_coverage(peers.coverage());
+        pool.set_fleet_heard(peers.hears_fleet(now));
     }
 
     /// Returns the start time of this process, ms since the Unix epoch.
--- a/crates/gateway/src/stats.rs
+++ b/crates/gateway/src/stats.rs
@@ -43,11 +43,16 @@
 impl Stats {
     /// Adds one to a counter.
     pub fn count(&self, name: &'static str, label: &str) {
+        self.add(name, label, 1);
+    }
+
+    /// Adds an amount to a counter.
+    pub fn add(&self, name: &'static str, label: &str, amount: u64) {
         let mut counters = self.counters.borrow_mut();
         match counters.get_mut(&(name, label.to_owned())) {
-            Some(count) => *count += 1,
+            Some(count) => *count += amount,
             None => {
-                counters.insert((name, label.to_owned()), 1);
+                counters.insert((name, label.to_owned()), amount);
             }
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -37,9 +37,9 @@
 pub use objective::Weights;
 pub use pause::{WaitBounds, is_worth_waiting};
 pub use pool::{
-    AnnouncedAt, Costs, DispatchNotice, DrainNotice, PeerCoverage, Pick, PickRequest,
-    Pool, TrackedLoads, VersionFilter, digest_bytes, digest_pair, digest_text,
-    prefix_digests, rendezvous_weight,
+    AnnouncedAt, Costs, DispatchNotice, DomainOffers, DrainNotice, PeerCoverage, Pick,
+    PickRequest, Pool, TrackedLoads, VersionFilter, digest_bytes, digest_pair,
+    digest_text, prefix_digests, rendezvous_weight,
 };
 pub use quarantine::{Grounds, Quarantine, Quarantines};
 pub use recent_count::RecentCount;
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -7,6 +7,7 @@
 //! there as others idle. [`Pool::pick`] compares both effects in milliseconds.
 //! See `docs/design/deployment.md`.
 
+mod cross_domain;
 mod discovery;
 mod endpoint_stats;
 mod pick;
@@ -18,6 +19,7 @@
 use clock::Millis;
 use serde::{Deserialize, Serialize};
 
+pub use cross_domain::DomainOffers;
 pub use discovery::AnnouncedAt;
 use discovery::Departure;
 use endpoint_stats::EndpointStats;
@@ -29,7 +31,9 @@
 use endpoint_stats::Load;
 pub(crate) use endpoint_stats::PREFIX_TTL_MS;
 
-use crate::{health::HealthSample, load_tracker::TrackedLoad};
+use crate::{
+    domain_spill::DomainSpill, health::HealthSample, load_tracker::TrackedLoad,
+};
 
 /// Loads that trackers told, by the digest of the endpoint's id.
 pub type TrackedLoads = HashMap<u64, TrackedLoad>;
@@ -86,6 +90,10 @@
     grace_until: Option<Millis>,
     /// The last incarnation of each endpoint that left.
     departed: HashMap<String, Departure>,
+    /// How much is sent to other failure domains, if that has a price.
+    spill: Option<DomainSpill>,
+    /// Whether most other gateways are silent.
+    fleet_unheard: bool,
 }
 
 /// An incarnation that is draining, as gateways announce it to each other.
@@ -144,9 +152,8 @@
     ) -> Option<Pick> {
         let parts = salted_parts(request);
         let usable = self.ranked(request, now);
-        let any_tracked = usable
-            .iter()
-            .any(|stats| tracked.contains_key(&stats.id_digest));
+        let left_out = self.untracked_left_out(request, tracked, &usable);
+        let ranks = self.prefix_ranks(&usable);
         let usable: Vec<(&EndpointStats, u32)> = usable
             .into_iter()
             .map(|stats| (stats, stats.cached_tokens(&parts, now)))
@@ -158,17 +165,17 @@
         } else {
             CACHED_PRIOR
         };
-        usable
+        let scored = usable
             .into_iter()
-            .enumerate()
-            .filter_map(|(rank, (stats, cached))| {
+            .zip(ranks)
+            .filter_map(|((stats, cached), rank)| {
                 if let Some(load) = tracked.get(&stats.id_digest) {
                     let cached = parts.iter().take(usize::from(load.cached_parts));
                     let cached = cached.map(|(_, tokens)| tokens).sum();
                     let uncached = request.uncached_tokens(cached, 0.0);
                     return Some((stats, Load::from(*load), uncached, uncached));
                 }
-                if any_tracked {
+                if left_out.covers(stats, request) {
                     return None;
                 }
                 let prior = priors.get(rank).copied().unwrap_or(0.0);
@@ -182,16 +189,25 @@
             .map(|(stats, load, expected, uncached)| {
                 let cost = stats.cost_ms(&self.costs, request, load, expected, now);
                 (stats, load, uncached, cost)
-            })
-            .min_by(|a, b| a.3.total_cmp(&b.3))
-            .map(|(stats, load, uncached_tokens, _)| Pick {
-                endpoint: stats.endpoint.clone(),
-                uncached_tokens,
-                wait_ms: stats.wait_ms(&self.costs, request, load, uncached_tokens)
-                    as u64,
-                running: stats.running,
-                peer_requests: stats.peer_requests,
-            })
+            });
+        let (best, cross_domain, offers) = match &self.spill {
+            None => (scored.min_by(|a, b| a.3.total_cmp(&b.3))?, None, None),
+            Some(spill) => {
+                let choice =
+                    self.choose_domain(spill, request, tracked, scored, now)?;
+                (choice.best, choice.reason, Some(choice.offers))
+            }
+        };
+        let (stats, load, uncached_tokens, _) = best;
+        Some(Pick {
+            endpoint: stats.endpoint.clone(),
+            uncached_tokens,
+            wait_ms: stats.wait_ms(&self.costs, request, load, uncached_tokens) as u64,
+            running: stats.running,
+            peer_requests: stats.peer_requests,
+            cross_domain,
+            offers: offers.map(Box::new),
+        })
     }
 
     /// Returns the digests of the endpoints whose load is worth knowing before a
@@ -203,10 +219,15 @@
         if digests.len() <= HOME_RANKS + SPILL_RANKS {
             return digests;
         }
-        let (home, others) = digests.split_at(HOME_RANKS);
         // The last part is unique to the request, so that requests of one prefix
         // spill over to different endpoints.
         let own = request.parts.last().map_or(0, |(digest, _)| *digest);
+        if self.spill.is_some()
+            && let Some(chosen) = Pool::domain_candidates(request, &usable, mix(own))
+        {
+            return chosen;
+        }
+        let (home, others) = digests.split_at(HOME_RANKS);
         let spill = (0..SPILL_RANKS as u64).map(|turn| {
             let index = mix(own.wrapping_add(turn)) % others.len() as u64;
             others[index as usize]
--- a/crates/route/src/pool/pick.rs
+++ b/crates/route/src/pool/pick.rs
@@ -2,7 +2,8 @@
 
 use catalog::Endpoint;
 
-use super::prefix::shared_parts;
+use super::{DomainOffers, prefix::shared_parts};
+use crate::domain_spill::CrossReason;
 
 /// Coefficients of the predicted wait.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +56,12 @@
     pub tried: &'a [String],
     /// Versions that may serve the request.
     pub versions: VersionFilter<'a>,
+    /// Bytes that the request moves if it is sent to another failure domain: its own and
+    /// those of its expected answer.
+    pub bytes: u64,
+    /// Random number, 0 to 1, by which the request follows a share that is sent to
+    /// other failure domains.
+    pub random: f64,
 }
 
 impl PickRequest<'_> {
@@ -100,7 +107,7 @@
 }
 
 /// The selected endpoint and the predictions for it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Pick {
     /// The selected endpoint.
     pub endpoint: Endpoint,
@@ -113,4 +120,8 @@
     pub running: u32,
     /// Requests of other gateways running there.
     pub peer_requests: u32,
+    /// Why another failure domain was picked, if traffic between domains has a price.
+    pub cross_domain: Option<CrossReason>,
+    /// What the domains offered, if traffic between them has a price.
+    pub offers: Option<Box<DomainOffers>>,
 }
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -572,6 +572,13 @@
         number(0, 100_000),
         "A larger model is not tried if its response is predicted to exceed this percentage of the latency objective.",
     ),
+    key(
+        "place",
+        "cross_domain_ms_per_mb",
+        "0",
+        decimal(0.0, 100_000.0),
+        "Delay that is worth as much as a megabyte between failure domains; with 0, requests go to other domains for any gain.",
+    ),
 ];
 
 /// Formats the reference page of all keys as Markdown.
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -233,6 +233,9 @@
     /// A larger model is not tried if its response is predicted to exceed this
     /// percentage of the latency objective.
     pub late_percent: u32,
+    /// Delay that is worth as much as a megabyte between failure domains, ms; zero if
+    /// that has no price.
+    pub cross_domain_ms_per_mb: f64,
 }
 
 /// All settings of a process.
@@ -488,5 +491,6 @@
             _ => FirstModel::Smallest,
         },
         late_percent: number("late_percent") as u32,
+        cross_domain_ms_per_mb: decimal("cross_domain_ms_per_mb"),
     }
 }
--- a/tests/domain_spill.rs
+++ b/tests/domain_spill.rs
@@ -6,9 +6,19 @@
     f64::consts::TAU,
 };
 
+use catalog::Endpoint;
 use clock::Millis;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::{CrossReason, DomainOffer, DomainSpill};
+use route::{
+    AnnouncedAt, Costs, CrossReason, DomainOffer, DomainSpill, PeerCoverage, Pick,
+    PickRequest, Pool, digest_text, prefix_digests,
+};
+use standin::{Action, ScriptedEndpoint};
+
+use crate::util::{
+    endpoints::endpoint,
+    gateway_harness::{TestPlatform, request as http_request, send},
+};
 
 const DOMAINS: usize = 3;
 
@@ -419,3 +429,263 @@
     }
     assert!(spill.share("s", "late", Millis(9_300)) > 0.0);
 }
+
+/// Endpoints `a0`, `a1` and so on in each of the domains, with eight slots each.
+fn pool(domains: &[&str], count: usize, ms_per_mb: f64) -> Pool {
+    let mut pool = Pool::new(Costs::default()).with_cross_domain_price(ms_per_mb);
+    for domain in domains {
+        for number in 0..count {
+            let endpoint = Endpoint {
+                failure_domain: (*domain).to_owned(),
+                slots: 8,
+                ..endpoint(&format!("{domain}{number}"))
+            };
+            pool.announce(endpoint, AnnouncedAt::default());
+        }
+    }
+    pool.set_peer_coverage(PeerCoverage::Complete);
+    pool.set_fleet_heard(true);
+    pool
+}
+
+fn request<'a>(random: f64, tried: &'a [String]) -> PickRequest<'a> {
+    PickRequest {
+        service: "s",
+        failure_domain: "a",
+        pace: 1.0,
+        tried,
+        bytes: BYTES,
+        random,
+        ..PickRequest::default()
+    }
+}
+
+/// Picks, and records what the domains offered.
+fn pick_recorded(pool: &mut Pool, request: &PickRequest<'_>, now: Millis) -> Pick {
+    let pick = pool.pick(request, now).expect("an endpoint matches");
+    if let Some(offers) = &pick.offers {
+        pool.record_offers(request, offers, now);
+    }
+    pick
+}
+
+fn load(ids: &[&str], running: u32) -> HashMap<u64, (u32, u32)> {
+    let digests = ids.iter().map(|id| digest_text(id));
+    digests.map(|digest| (digest, (running, 0))).collect()
+}
+
+/// Gateways that keep their requests at home although it is overloaded, or send them
+/// away although it is not, would make the price useless.
+#[test]
+fn pool_crosses_only_while_home_is_overloaded() {
+    let mut pool = pool(&["a", "b"], 2, MS_PER_MB);
+    let mut now = Millis(10_000);
+    pool.set_peer_load(&load(&["a0", "a1"], 4));
+    for _ in 0..50 {
+        let pick = pick_recorded(&mut pool, &request(0.0, &[]), now);
+        assert_eq!(pick.endpoint.failure_domain, "a");
+        now = now.plus(100);
+    }
+    pool.set_peer_load(&load(&["a0", "a1"], 60));
+    for turn in 0..50 {
+        let pick = pick_recorded(&mut pool, &request(0.0, &[]), now);
+        assert!(turn > 0 || pick.cross_domain.is_none(), "not all at once");
+        now = now.plus(100);
+    }
+    let pick = pool.pick(&request(0.0, &[]), now).unwrap();
+    assert_eq!(pick.endpoint.failure_domain, "b");
+    assert_eq!(pick.cross_domain, Some(CrossReason::Overload));
+    let pick = pool.pick(&request(0.99, &[]), now).unwrap();
+    assert_eq!(pick.cross_domain, None, "only the share follows");
+    pool.set_fleet_heard(false);
+    let pick = pool.pick(&request(0.0, &[]), now).unwrap();
+    assert_eq!(pick.cross_domain, None, "no load is known");
+    pool.set_fleet_heard(true);
+    pool.set_peer_load(&load(&["a0", "a1"], 0));
+    let pick = pool.pick(&request(0.0, &[]), now).unwrap();
+    assert_eq!(pick.endpoint.failure_domain, "a", "home at once");
+}
+
+#[test]
+fn pool_without_an_endpoint_at_home_uses_another_domain() {
+    let mut pool = pool(&["a", "b"], 2, MS_PER_MB);
+    pool.set_fleet_heard(false);
+    let tried = ["a0".to_owned(), "a1".to_owned()];
+    let pick = pool.pick(&request(0.99, &tried), Millis(10_000)).unwrap();
+    assert_eq!(pick.endpoint.failure_domain, "b");
+    assert_eq!(pick.cross_domain, Some(CrossReason::NoHomeEndpoint));
+}
+
+fn prompt<'a>(domain: &'a str, parts: &'a [(u64, u32)]) -> PickRequest<'a> {
+    PickRequest {
+        failure_domain: domain,
+        model: "m",
+        parts,
+        tokens_in: 16_000,
+        ..request(0.0, &[])
+    }
+}
+
+/// With the first endpoints of one order over all domains, many prompts had none of
+/// their own domain to choose from.
+#[test]
+fn candidates_include_the_own_domain_and_gateways_agree_on_prefixes() {
+    let domains = ["a", "b", "c"];
+    let pool = pool(&domains, 30, MS_PER_MB);
+    let now = Millis(10_000);
+    let names: HashMap<u64, String> = domains
+        .iter()
+        .flat_map(|domain| (0..30).map(move |number| format!("{domain}{number}")))
+        .map(|id| (digest_text(&id), id))
+        .collect();
+    for prefix in 0..40 {
+        let mut homes: HashMap<&str, Vec<u64>> = HashMap::new();
+        let mut away: HashMap<&str, Vec<u64>> = HashMap::new();
+        for number in 0..20 {
+            let parts = prefix_digests([(prefix, 13_000), (1_000 + number, 3_000)]);
+            for domain in domains {
+                let candidates = pool.candidates(&prompt(domain, &parts), now);
+                assert_eq!(candidates.len(), 5);
+                let is_own = |digest: &&u64| names[*digest].starts_with(domain);
+                assert_eq!(candidates.iter().filter(is_own).count(), 3);
+                let first = candidates[..2].to_vec();
+                assert_eq!(*homes.entry(domain).or_insert(first.clone()), first);
+                let others = candidates.iter().filter(|digest| !is_own(digest));
+                away.entry(domain).or_default().extend(others);
+            }
+        }
+        // What leaves a domain goes where the prefix belongs in the other one.
+        for digest in away.values().flatten() {
+            assert!(homes.values().any(|home| home.contains(digest)));
+        }
+    }
+}
+
+/// The setting is off: neither the bytes of a request nor its random number matter, and
+/// candidates and picks are those of a pool that knows no price.
+#[test]
+fn pool_without_a_price_picks_as_before() {
+    let domains = ["a", "b", "c"];
+    let mut priceless = pool(&domains, 4, 0.0);
+    let mut plain = Pool::new(Costs::default());
+    for domain in domains {
+        for number in 0..4 {
+            let id = format!("{domain}{number}");
+            let endpoint = Endpoint {
+                slots: 8,
+                ..priceless.get(&id).expect("it was announced").clone()
+            };
+            plain.announce(endpoint, AnnouncedAt::default());
+        }
+    }
+    plain.set_peer_coverage(PeerCoverage::Complete);
+    let mut rng = StdRng::seed_from_u64(9);
+    let mut crossed = 0;
+    for turn in 0..400 {
+        let now = Millis(10_000 + turn * 10);
+        let prefix = rng.random_range(0..20);
+        let parts = prefix_digests([(prefix, 13_000), (1_000 + turn, 3_000)]);
+        let request = PickRequest {
+            random: rng.random(),
+            bytes: rng.random_range(0..1_000_000),
+            ..prompt("a", &parts)
+        };
+        let bare = PickRequest {
+            random: 0.0,
+            bytes: 0,
+            ..request.clone()
+        };
+        assert_eq!(
+            priceless.candidates(&request, now),
+            plain.candidates(&bare, now)
+        );
+        let pick = priceless.pick(&request, now);
+        assert_eq!(pick, plain.pick(&bare, now));
+        let pick = pick.expect("an endpoint matches");
+        assert_eq!((&pick.cross_domain, &pick.offers), (&None, &None));
+        crossed += u32::from(pick.endpoint.failure_domain != "a");
+        for pool in [&mut priceless, &mut plain] {
+            let tokens = pick.uncached_tokens;
+            pool.record_dispatch(&pick.endpoint.id, &bare, tokens, now);
+            if turn % 3 != 0 {
+                pool.record_prefill_end(&pick.endpoint.id, tokens, 1.0);
+                pool.record_end(&pick.endpoint.id);
+            }
+        }
+    }
+    assert!(crossed > 100, "{crossed}");
+}
+
+/// An engine of eight slots in the failure domain `zone`.
+fn announce(platform: &TestPlatform, id: &str, zone: &str, address: &str, state: &str) {
+    let sequence = if state == "ready" { 1 } else { 2 };
+    let record = format!(
+        r#"{{"service":"engine","addr":"{address}","zone":"{zone}","version":"v1","slots":8,"state":"{state}","cold_left_ms":0,"seq":{sequence},"born":5}}"#
+    );
+    platform.log.put("keyed.servers", id, &record);
+}
+
+/// A real gateway in front of an overloaded engine of its domain and an idle one of
+/// another: a part crosses and is counted, and nothing crosses after the overload.
+#[tokio::test]
+async fn gateway_crosses_under_overload_and_without_an_endpoint_at_home() {
+    let platform = TestPlatform::start().await;
+    let home = ScriptedEndpoint::start(Action::PauseStream(300)).await;
+    let other = ScriptedEndpoint::start(Action::PauseStream(300)).await;
+    let home_address = home.address.to_string();
+    announce(&platform, "a0", "a", &home_address, "ready");
+    announce(&platform, "b0", "b", &other.address.to_string(), "ready");
+    let gateway = platform
+        .gateway("[place]\ncross_domain_ms_per_mb = 1000\n")
+        .await;
+    gateway.wait_logged("endpoint=a0").await;
+    gateway.wait_logged("endpoint=b0").await;
+    let callers = gateway.callers;
+    let draft = |id: String| {
+        let text = http_request("POST", "/draft/", &id, "", "x");
+        async move { send(callers, &text).await.status }
+    };
+    for number in 0..5 {
+        assert_eq!(draft(format!("idle{number}")).await, 200);
+    }
+    assert_eq!(other.received().len(), 0, "home has room");
+    for round in 0..60 {
+        let wave: Vec<_> = (0..60)
+            .map(|number| tokio::spawn(draft(format!("r{round}-{number}"))))
+            .collect();
+        let mut statuses = Vec::new();
+        for reply in wave {
+            statuses.push(reply.await.expect("the task ends"));
+        }
+        assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+        if other.received().len() > 10 {
+            break;
+        }
+    }
+    let crossed = other.received().len();
+    assert!(crossed > 10 && home.received().len() > crossed);
+    gateway
+        .wait_logged("event=domain_share service=engine domain=b")
+        .await;
+    for number in 0..5 {
+        assert_eq!(draft(format!("after{number}")).await, 200);
+    }
+    assert_eq!(other.received().len(), crossed, "home has room again");
+    announce(&platform, "a0", "a", &home_address, "draining");
+    gateway.wait_logged("state=Draining").await;
+    assert_eq!(draft("last".to_owned()).await, 200);
+    assert_eq!(other.received().len(), crossed + 1);
+    let metrics = send(gateway.metrics, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n");
+    let metrics = metrics.await.text;
+    let count = |line: &str| {
+        let line = format!("currantbank_{line} ");
+        let value = metrics.lines().find_map(|l| l.strip_prefix(&line));
+        value.and_then(|value| value.trim().parse::<usize>().ok())
+    };
+    assert_eq!(count("cross_domain{of=\"overload\"}"), Some(crossed));
+    assert_eq!(count("cross_domain{of=\"no_home_endpoint\"}"), Some(1));
+    let sent = count("cross_domain_bytes{of=\"sent\"}");
+    assert_eq!(sent, Some(crossed + 1), "bodies of one byte");
+    let received = count("cross_domain_bytes{of=\"received\"}");
+    assert!(received > Some(20 * crossed), "{received:?}");
+}
