--- a/crates/standin/src/scripted_endpoint.rs
+++ b/crates/standin/src/scripted_endpoint.rs
@@ -198,8 +198,11 @@
     /// Address that it listens on.
     pub address: SocketAddr,
     inner: Arc<Mutex<Inner>>,
-    /// Number of crashes; each change closes all connections.
+    /// Number of crashes.
     crashes: watch::Sender<usize>,
+    /// Number of crashes after which the listener accepts nothing; each change closes all
+    /// connections. A client that sees its connection closed must not get a new one.
+    closed: watch::Sender<usize>,
 }
 
 impl ScriptedEndpoint {
@@ -213,6 +216,7 @@
             address,
             inner: Arc::default(),
             crashes: watch::Sender::default(),
+            closed: watch::Sender::default(),
         };
         endpoint.lock().default_action = default_action;
         let served = endpoint.clone();
@@ -226,8 +230,11 @@
                     },
                     _ = crashes.changed() => {
                         if served.lock().is_gone {
+                            drop(listener);
+                            served.closed.send_modify(|count| *count += 1);
                             return;
                         }
+                        served.closed.send_modify(|count| *count += 1);
                     }
                 }
             }
@@ -241,11 +248,11 @@
             return;
         }
         let served = self.clone();
-        let mut crashes = served.crashes.subscribe();
+        let mut closed = served.closed.subscribe();
         tokio::spawn(async move {
             tokio::select! {
                 () = served.serve(stream) => {}
-                _ = crashes.changed() => {}
+                _ = closed.changed() => {}
             }
         });
     }
@@ -358,7 +365,8 @@
             }
         });
         tokio::select! {
-            _ = crashed => {}
+            // The connection is closed with the others.
+            _ = crashed => std::future::pending().await,
             _ = stream.read_u8() => {}
         }
     }
