--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -25,11 +25,7 @@
     /// Picks an endpoint, unless the request is held back; a resumed stream requires one
     /// of `version`.
     pub async fn pick_endpoint(&self, version: Option<&str>) -> Option<InFlight> {
-        let versions = match version {
-            Some(version) => VersionFilter::Only(version),
-            None => self.assignment.versions(),
-        };
-        let request = self.pick_request(self.size, versions);
+        let request = self.pick_request(self.size, self.versions(version));
         // A trial of a request that is held back would be used up without an endpoint.
         if self.gateway.pool.borrow().finds_only_evacuated(&request) {
             return None;
@@ -38,12 +34,12 @@
             self.log.held_back(review_at);
             return None;
         }
-        let asked_at = self.gateway.now();
         let asked = self.asked.take().filter(|(size, _)| *size == self.size);
         let loads = match asked {
             Some((_, loads)) => loads,
             None => self.gateway.ask_loads(&request).await,
         };
+        let asked_at = self.gateway.now();
         for _ in 0..LIMITED_PICKS_MAX {
             if self.gateway.now().since(asked_at) >= LIMITED_PICKS_MS {
                 break;
@@ -127,6 +123,15 @@
         Err(fastest_ms.saturating_sub(left_ms))
     }
 
+    /// Returns the versions that may serve an attempt: that of a resumed stream, or those
+    /// of the assignment.
+    fn versions<'a>(&'a self, resumed: Option<&'a str>) -> VersionFilter<'a> {
+        match resumed {
+            Some(version) => VersionFilter::Only(version),
+            None => self.assignment.versions(),
+        }
+    }
+
     /// Returns when the first of the endpoints that asked for a pause takes this
     /// request again; `None` if none of them is paused.
     pub fn earliest_pause_end(&self) -> Option<Millis> {
@@ -145,11 +150,7 @@
     /// Counts an attempt for which no endpoint was found, if all that match are in
     /// evacuated failure domains; a resumed stream requires one of `version`.
     pub fn count_evacuated(&self, version: Option<&str>) {
-        let versions = match version {
-            Some(version) => VersionFilter::Only(version),
-            None => self.assignment.versions(),
-        };
-        let request = self.pick_request(self.size, versions);
+        let request = self.pick_request(self.size, self.versions(version));
         if self.gateway.pool.borrow().finds_only_evacuated(&request) {
             self.gateway.stats.count("evacuated", &self.req.service);
         }
