Publish test endpoints through one record

Cause: the record of an endpoint stood in five places of the tests, two of them added with the warm-up. Change: EndpointRecord with defaults; the methods of the harness and the tests of the warm-up build it. The records, assertions and bounds are the same.

--- a/tests/util/gateway_harness.rs
+++ b/tests/util/gateway_harness.rs
@@ -277,6 +277,55 @@
     )
 }
 
+/// The announcement of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointRecord<'a> {
+    /// Service of the endpoint.
+    pub service: &'a str,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: &'a str,
+    /// Version of its software.
+    pub version: &'a str,
+    /// `ready` or `draining`.
+    pub state: &'a str,
+    /// Time for which it is still cold, ms.
+    pub cold_left_ms: u64,
+    /// Start time of the incarnation, ms since the Unix epoch.
+    pub born_ms: u64,
+}
+
+impl<'a> EndpointRecord<'a> {
+    /// A ready, warm endpoint of version `v1` in the failure domain `a`.
+    pub fn new(service: &'a str, address: SocketAddr) -> Self {
+        EndpointRecord {
+            service,
+            address,
+            failure_domain: "a",
+            version: "v1",
+            state: "ready",
+            cold_left_ms: 0,
+            born_ms: 5,
+        }
+    }
+
+    fn encode(&self) -> String {
+        let EndpointRecord {
+            service,
+            address,
+            failure_domain,
+            version,
+            state,
+            cold_left_ms,
+            born_ms,
+        } = self;
+        format!(
+            r#"{{"service":"{service}","addr":"{address}","zone":"{failure_domain}","version":"{version}","slots":8,"state":"{state}","cold_left_ms":{cold_left_ms},"seq":1,"born":{born_ms}}}"#
+        )
+    }
+}
+
 /// Stand-in for the users' platform: its log, and endpoints published there.
 pub struct TestPlatform {
     /// Log from which gateways read configuration and endpoints.
@@ -301,19 +350,26 @@
         self.announce_as(id, service, endpoint.address, "v1", "ready");
     }
 
-    /// Publishes a ready endpoint of a version in the failure domain `zone`.
+    /// Publishes the record of an endpoint.
+    pub fn announce_record(&self, id: &str, record: &EndpointRecord<'_>) {
+        self.log.put("keyed.servers", id, &record.encode());
+    }
+
+    /// Publishes a ready endpoint of a version in a failure domain.
     pub fn announce_in(
         &self,
-        zone: &str,
+        failure_domain: &str,
         id: &str,
         service: &str,
         address: SocketAddr,
         version: &str,
     ) {
-        let record = format!(
-            r#"{{"service":"{service}","addr":"{address}","zone":"{zone}","version":"{version}","slots":8,"state":"ready","cold_left_ms":0,"seq":1,"born":5}}"#
-        );
-        self.log.put("keyed.servers", id, &record);
+        let record = EndpointRecord {
+            failure_domain,
+            version,
+            ..EndpointRecord::new(service, address)
+        };
+        self.announce_record(id, &record);
     }
 
     /// Publishes an endpoint record with a version and a state.
@@ -325,10 +381,12 @@
         version: &str,
         state: &str,
     ) {
-        let record = format!(
-            r#"{{"service":"{service}","addr":"{address}","zone":"a","version":"{version}","slots":8,"state":"{state}","cold_left_ms":0,"seq":1,"born":5}}"#
-        );
-        self.log.put("keyed.servers", id, &record);
+        let record = EndpointRecord {
+            version,
+            state,
+            ..EndpointRecord::new(service, address)
+        };
+        self.announce_record(id, &record);
     }
 
     /// Publishes a ready endpoint of version `v1` that started at `born_ms`; the other
@@ -340,10 +398,11 @@
         address: SocketAddr,
         born_ms: u64,
     ) {
-        let record = format!(
-            r#"{{"service":"{service}","addr":"{address}","zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":1,"born":{born_ms}}}"#
-        );
-        self.log.put("keyed.servers", id, &record);
+        let record = EndpointRecord {
+            born_ms,
+            ..EndpointRecord::new(service, address)
+        };
+        self.announce_record(id, &record);
     }
 
     /// Starts a gateway and waits until it is ready.
--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -22,7 +22,9 @@
 
 use crate::util::{
     endpoints::endpoint,
-    gateway_harness::{GatewayProcess, TestPlatform, configuration, request, send},
+    gateway_harness::{
+        EndpointRecord, GatewayProcess, TestPlatform, configuration, request, send,
+    },
 };
 
 /// Maximum time for an expected condition to hold.
@@ -63,10 +65,11 @@
     address: SocketAddr,
     cold_left_ms: u64,
 ) {
-    let record = format!(
-        r#"{{"service":"{service}","addr":"{address}","zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":{cold_left_ms},"seq":1,"born":5}}"#
-    );
-    platform.log.put("keyed.servers", id, &record);
+    let record = EndpointRecord {
+        cold_left_ms,
+        ..EndpointRecord::new(service, address)
+    };
+    platform.announce_record(id, &record);
 }
 
 async fn gateway(platform: &TestPlatform, last_endpoint: &str) -> GatewayProcess {
@@ -288,11 +291,12 @@
     let line = "event=endpoint_warming endpoint=p1";
     for born_ms in 6.. {
         // The first gateway may not have heard yet that the other one lost the log.
-        let record = format!(
-            r#"{{"service":"plain","addr":"{}","zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":60000,"seq":1,"born":{born_ms}}}"#,
-            endpoint.address
-        );
-        platform.log.put("keyed.servers", "p1", &record);
+        let record = EndpointRecord {
+            cold_left_ms: 60_000,
+            born_ms,
+            ..EndpointRecord::new("plain", endpoint.address)
+        };
+        platform.announce_record("p1", &record);
         tokio::time::sleep(Duration::from_millis(500)).await;
         if !second.logged(line).is_empty() {
             break;
