--- /dev/null
+++ b/tests/clients/bodies.rs
@@ -0,0 +1,173 @@
+//! Large bodies, at once: whole, cut short, in chunks, and over the limit.
+
+use rustix::process::Signal;
+use standin::ScriptedEndpoint;
+
+use crate::{
+    ALONE,
+    gateway::{BODY_MAX_BYTES, Fixture, chunked_head, sized_head},
+    util::{
+        crowd::{Crowd, chunks},
+        gateway_harness::{Reply, send_bytes},
+    },
+};
+
+/// Clients of a crowd that sends bodies of the largest size.
+const LARGE_CROWD: usize = 40;
+
+/// Clients of a crowd that sends bodies of which each byte is a chunk.
+const TINY_CHUNKS_CROWD: usize = 10;
+
+/// Payload of such a body, bytes.
+const TINY_CHUNKS_BYTES: usize = 400_000;
+
+/// Size of a large chunk, bytes.
+const LARGE_CHUNK_BYTES: usize = 64 * 1024;
+
+/// Payload of a body that is far over the limit, bytes.
+const FAR_OVER_LIMIT_BYTES: usize = 4 * BODY_MAX_BYTES;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whole_large_bodies_at_once_stay_within_memory() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| sized_head("/held/", id, BODY_MAX_BYTES);
+    let body = vec![b'd'; BODY_MAX_BYTES];
+    let mut crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    fixture.assert_serves_within_bounds().await;
+    fixture.assert_refused_have_not_run(&mut crowd).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_bodies_that_stop_short_stay_within_memory() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| sized_head("/held/", id, BODY_MAX_BYTES);
+    let body = vec![b'd'; BODY_MAX_BYTES - 1];
+    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    fixture.assert_serves_within_bounds().await;
+    assert!(fixture.held.received().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_chunks_that_stop_short_stay_within_memory() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| chunked_head("/held/", id);
+    let body = chunks(BODY_MAX_BYTES - 1, LARGE_CHUNK_BYTES);
+    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    fixture.assert_serves_within_bounds().await;
+    assert!(fixture.held.received().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tiny_chunks_that_stop_short_stay_within_memory() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| chunked_head("/held/", id);
+    let body = chunks(TINY_CHUNKS_BYTES, 1);
+    let _crowd =
+        Crowd::send(fixture.gateway.callers, TINY_CHUNKS_CROWD, head, body).await;
+    fixture.assert_serves_within_bounds().await;
+    assert!(fixture.held.received().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_that_announce_more_than_the_limit_stay_within_memory() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| sized_head("/held/", id, FAR_OVER_LIMIT_BYTES);
+    let body = vec![b'd'; FAR_OVER_LIMIT_BYTES];
+    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    fixture.assert_serves_within_bounds().await;
+    assert!(fixture.held.received().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chunks_beyond_the_limit_stay_within_memory() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| chunked_head("/held/", id);
+    let body = chunks(FAR_OVER_LIMIT_BYTES, LARGE_CHUNK_BYTES);
+    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    fixture.assert_serves_within_bounds().await;
+    assert!(fixture.held.received().is_empty());
+}
+
+/// Clients without a key must not take memory for what is not even read for an endpoint.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_bodies_without_a_key_stay_within_memory() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head =
+        |id: &str| sized_head("/held/", id, BODY_MAX_BYTES).replace("key-a", "unknown");
+    let body = vec![b'd'; BODY_MAX_BYTES - 1];
+    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    fixture.assert_serves_within_bounds().await;
+    assert!(fixture.held.received().is_empty());
+}
+
+/// A body that never ends must not keep its request open for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_that_stop_short_end_while_their_clients_stay() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| sized_head("/held/", id, 1_000);
+    let mut crowd =
+        Crowd::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
+    for client in &mut crowd.clients {
+        let reply = client.reply().await;
+        assert_eq!(reply.status, 408, "{reply:?}");
+    }
+    assert!(fixture.held.received().is_empty());
+    fixture.assert_serves_within_bounds().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gateway_that_is_stopped_ends_beside_bodies_that_stop_short() {
+    let _alone = ALONE.lock().await;
+    let mut fixture = Fixture::start().await;
+    let head = |id: &str| sized_head("/held/", id, 1_000);
+    let _crowd = Crowd::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
+    fixture.gateway.signal(Signal::TERM);
+    assert!(fixture.gateway.wait_exit().await);
+}
+
+async fn assert_served(endpoint: &ScriptedEndpoint, sent: &Reply, payload: &[u8]) {
+    assert_eq!(sent.status, 200, "{sent:?}");
+    let received = endpoint.received();
+    let last = received.last().expect("the request arrived");
+    assert!(last.body == payload, "{} bytes arrived", last.body.len());
+}
+
+/// The largest request that the configuration allows is served, however it is sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn largest_body_is_served_in_calm() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let payload = vec![b'd'; BODY_MAX_BYTES];
+    let callers = fixture.gateway.callers;
+
+    let mut sized = sized_head("/once/", "s1", BODY_MAX_BYTES).into_bytes();
+    sized.extend_from_slice(&payload);
+    let reply = send_bytes(callers, &sized).await;
+    assert_served(&fixture.plain, &reply, &payload).await;
+
+    let mut chunked = chunked_head("/once/", "s2").into_bytes();
+    chunked.extend(chunks(BODY_MAX_BYTES, LARGE_CHUNK_BYTES));
+    chunked.extend_from_slice(b"0\r\n\r\n");
+    let reply = send_bytes(callers, &chunked).await;
+    assert_served(&fixture.plain, &reply, &payload).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn body_in_tiny_chunks_is_served_in_calm() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let mut chunked = chunked_head("/safe/", "s1").into_bytes();
+    chunked.extend(chunks(TINY_CHUNKS_BYTES, 1));
+    chunked.extend_from_slice(b"0\r\n\r\n");
+    let reply = send_bytes(fixture.gateway.callers, &chunked).await;
+    let payload = vec![b'd'; TINY_CHUNKS_BYTES];
+    assert_served(&fixture.plain, &reply, &payload).await;
+}
--- /dev/null
+++ b/tests/clients/connections.rs
@@ -0,0 +1,43 @@
+//! Many connections that are kept open, with as much of a request as each sends.
+
+use crate::{
+    ALONE,
+    gateway::{Fixture, sized_head},
+    util::crowd::Crowd,
+};
+
+/// Clients of a crowd that opens more connections than there are descriptors for.
+const CONNECTIONS_CROWD: usize = 500;
+
+async fn assert_crowd_is_borne<F>(head: F)
+where
+    F: Fn(&str) -> String,
+{
+    let fixture = Fixture::start_with_few_descriptors().await;
+    let callers = fixture.gateway.callers;
+    let _crowd = Crowd::send(callers, CONNECTIONS_CROWD, head, Vec::new()).await;
+    fixture.assert_serves_within_bounds().await;
+    fixture.assert_descriptors_left();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_connections_leave_descriptors() {
+    let _alone = ALONE.lock().await;
+    assert_crowd_is_borne(|_| String::new()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_with_a_part_of_a_head_leave_descriptors() {
+    let _alone = ALONE.lock().await;
+    let field = "x".repeat(2_000);
+    assert_crowd_is_borne(|id| {
+        format!("POST /held/ HTTP/1.1\r\nx-request-id: {id}\r\nx-padding: {field}")
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_with_a_part_of_a_small_body_leave_descriptors() {
+    let _alone = ALONE.lock().await;
+    assert_crowd_is_borne(|id| sized_head("/held/", id, 1_000) + "part").await;
+}
--- /dev/null
+++ b/tests/clients/entry.rs
@@ -0,0 +1,128 @@
+//! The same crowds at the entry.
+
+use crate::{
+    ALONE, DESCRIPTORS_MAX, DESCRIPTORS_RESERVED,
+    util::{
+        cluster::Cluster,
+        crowd::{Crowd, chunks},
+        gateway_harness::send,
+        process_stats::{descriptors, memory_peak_kib, unread_kib},
+        script::Script,
+    },
+};
+
+/// Memory that a node may use, KiB; see docs/CAPACITY.md, which states it as 256 MB.
+const NODE_MEMORY_MAX_KIB: u64 = 256_000_000 / 1_024;
+
+/// Largest body that the settings of these tests allow, bytes.
+const BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Clients of a crowd that sends bodies of the largest size.
+const LARGE_CROWD: usize = 48;
+
+/// Clients of a crowd that sends bodies of which each byte is a chunk.
+const TINY_CHUNKS_CROWD: usize = 20;
+
+/// Payload of such a body, bytes.
+const TINY_CHUNKS_BYTES: usize = 600_000;
+
+/// Size of a large chunk, bytes.
+const LARGE_CHUNK_BYTES: usize = 64 * 1024;
+
+/// Clients of a crowd that opens more connections than there are descriptors for.
+const CONNECTIONS_CROWD: usize = 500;
+
+async fn start_cluster(descriptors_max: Option<u32>) -> Cluster {
+    let mut script = Script::new().await;
+    let cluster = &mut script.cluster;
+    cluster.descriptors_max = descriptors_max;
+    let settings = &mut cluster.common_settings;
+    settings.insert("entry.body_max_bytes".into(), BODY_MAX_BYTES.to_string());
+    // So long that no body ends by it while the crowd is there.
+    settings.insert("entry.body_timeout_ms".into(), "60000".into());
+    for command in [
+        "engine big versions=draft@v1",
+        "entry entry-1 room=ghent",
+        "agent agent-1 room=ghent endpoint=big",
+        "setup entry-1 draft=v1 teams=others",
+        "ctl entry-1 put team members --token-digest token:members-token --allow draft",
+        "wait-config entry-1",
+    ] {
+        script.command(command).await;
+    }
+    script.cluster
+}
+
+fn head(framing: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer members-token\r\n{framing}\r\n"
+    )
+}
+
+fn sized_head(len: usize) -> String {
+    head(&format!("content-length: {len}\r\n"))
+}
+
+/// Checks that the entry lives within its memory and answers an ordinary request.  The
+/// connections of a crowd must still be open.
+async fn assert_serves_within_bounds(cluster: &Cluster) {
+    let entry = &cluster.daemons["entry-1"];
+    let callers = entry.address("callers");
+    let used_kib = memory_peak_kib(entry.pid()) + unread_kib(callers);
+    assert!(used_kib < NODE_MEMORY_MAX_KIB, "{used_kib} KiB");
+    let chat = r#"{"model":"draft","messages":[{"content":"x"}],"max_tokens":1}"#;
+    let text = format!("{}{chat}", sized_head(chat.len()));
+    let reply = send(callers, &text).await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+}
+
+async fn assert_crowd_is_borne(count: usize, head: String, body: Vec<u8>) {
+    let cluster = start_cluster(None).await;
+    let callers = cluster.address("entry-1", "callers");
+    let _crowd = Crowd::send(callers, count, |_| head.clone(), body).await;
+    assert_serves_within_bounds(&cluster).await;
+    assert!(cluster.engines["big"].state().started.len() <= 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_large_bodies_that_stop_short() {
+    let _alone = ALONE.lock().await;
+    let body = vec![b'd'; BODY_MAX_BYTES - 1];
+    assert_crowd_is_borne(LARGE_CROWD, sized_head(BODY_MAX_BYTES), body).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_large_chunks_that_stop_short() {
+    let _alone = ALONE.lock().await;
+    let body = chunks(BODY_MAX_BYTES - 1, LARGE_CHUNK_BYTES);
+    let head = head("transfer-encoding: chunked\r\n");
+    assert_crowd_is_borne(LARGE_CROWD, head, body).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_tiny_chunks_that_stop_short() {
+    let _alone = ALONE.lock().await;
+    let body = chunks(TINY_CHUNKS_BYTES, 1);
+    let head = head("transfer-encoding: chunked\r\n");
+    assert_crowd_is_borne(TINY_CHUNKS_CROWD, head, body).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_bodies_over_the_limit() {
+    let _alone = ALONE.lock().await;
+    let len = 4 * BODY_MAX_BYTES;
+    assert_crowd_is_borne(LARGE_CROWD, sized_head(len), vec![b'd'; len]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_more_connections_than_it_has_descriptors() {
+    let _alone = ALONE.lock().await;
+    let cluster = start_cluster(Some(DESCRIPTORS_MAX)).await;
+    let callers = cluster.address("entry-1", "callers");
+    let _crowd =
+        Crowd::send(callers, CONNECTIONS_CROWD, |_| "POST".into(), Vec::new()).await;
+    assert_serves_within_bounds(&cluster).await;
+    let open = descriptors(cluster.daemons["entry-1"].pid());
+    let max = DESCRIPTORS_MAX as usize - DESCRIPTORS_RESERVED;
+    assert!(open < max, "{open} descriptors are open");
+}
--- /dev/null
+++ b/tests/clients/gateway.rs
@@ -0,0 +1,137 @@
+//! The gateway under test, with two endpoints, and what must hold of it.
+
+use standin::{Action, ScriptedEndpoint};
+
+use crate::{
+    DESCRIPTORS_MAX, DESCRIPTORS_RESERVED, MEMORY_MAX_KIB,
+    util::{
+        crowd::Crowd,
+        gateway_harness::{
+            GatewayProcess, TestPlatform, configuration_with, request, send,
+        },
+    },
+};
+
+/// Largest body that the configuration allows, bytes.
+pub const BODY_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Size of an ordinary request's body, bytes.
+const ORDINARY_BODY_BYTES: usize = 17_000;
+
+/// Statuses that promise that the request has not run and will not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// Route to an endpoint that runs every request and never answers.
+const HELD_ROUTE: &str = r#",
+{"name":"held","host":"h.example","path_prefix":"/held/","kind":"unsafe","timeout_ms":2000,"slo_ms":100,"priority":2,"service":"held","max_attempts":1,"public":false}"#;
+
+/// A gateway with an endpoint that answers and one that holds its requests.
+pub struct Fixture {
+    pub gateway: GatewayProcess,
+    /// Runs the requests under `/held/`, and never answers.
+    pub held: ScriptedEndpoint,
+    /// Answers the requests under `/once/` and `/safe/`.
+    pub plain: ScriptedEndpoint,
+    _platform: TestPlatform,
+}
+
+impl Fixture {
+    pub async fn start() -> Fixture {
+        Fixture::start_with(None).await
+    }
+
+    /// Like [`Fixture::start`], with at most [`DESCRIPTORS_MAX`] descriptors.
+    pub async fn start_with_few_descriptors() -> Fixture {
+        Fixture::start_with(Some(DESCRIPTORS_MAX)).await
+    }
+
+    async fn start_with(descriptors_max: Option<u32>) -> Fixture {
+        let platform = TestPlatform::start().await;
+        let limit = format!("\"max_body_bytes\":{BODY_MAX_BYTES}");
+        let configuration = configuration_with(2, HELD_ROUTE)
+            .replace("\"max_body_bytes\":1000", &limit)
+            .replace("\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":60000")
+            .replace("\"header_timeout_ms\":3000", "\"header_timeout_ms\":60000")
+            .replace(
+                r#"{"name":"plain","#,
+                r#"{"name":"held","health_path":"/h","max_conns":100},{"name":"plain","#,
+            );
+        platform.log.put("keyed.op", "config", &configuration);
+        let held = ScriptedEndpoint::start(Action::Hang).await;
+        let plain = ScriptedEndpoint::start(Action::Answer).await;
+        platform.announce("p1", "plain", &plain);
+        platform.announce("h1", "held", &held);
+        let gateway = match descriptors_max {
+            Some(max) => GatewayProcess::start_with_descriptors(
+                &platform.dir,
+                platform.log.address,
+                max,
+            ),
+            None => GatewayProcess::start(&platform.dir, platform.log.address, ""),
+        };
+        gateway.wait_ready().await;
+        gateway.wait_logged("endpoint=p1").await;
+        gateway.wait_logged("endpoint=h1").await;
+        Fixture {
+            gateway,
+            held,
+            plain,
+            _platform: platform,
+        }
+    }
+
+    /// Checks that the process lives within its machine and serves an ordinary request.
+    ///
+    /// The connections of a crowd must still be open.
+    pub async fn assert_serves_within_bounds(&self) {
+        let peak_kib = self.gateway.memory_peak_kib();
+        let unread_kib = self.gateway.unread_kib();
+        assert!(
+            peak_kib + unread_kib < MEMORY_MAX_KIB,
+            "{peak_kib} KiB of memory, {unread_kib} KiB unread"
+        );
+        let body = "o".repeat(ORDINARY_BODY_BYTES);
+        let text = request("POST", "/once/", "ordinary", "", &body);
+        let reply = send(self.gateway.callers, &text).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+
+    /// Checks the number of open descriptors, of which some are reserved for files.
+    pub fn assert_descriptors_left(&self) {
+        let open = self.gateway.descriptors();
+        let max = DESCRIPTORS_MAX as usize - DESCRIPTORS_RESERVED;
+        assert!(open < max, "{open} descriptors are open");
+    }
+
+    /// Checks that no request ran whose answer says that it did not; reads the answers.
+    pub async fn assert_refused_have_not_run(&self, crowd: &mut Crowd) {
+        let mut refused = Vec::new();
+        for client in &mut crowd.clients {
+            let reply = client.reply().await;
+            if NOT_RUN.contains(&reply.status) {
+                refused.push(client.request_id());
+            }
+        }
+        let run = self.held.received();
+        let run = run.iter().filter_map(|run| run.header("x-request-id"));
+        for id in run {
+            assert!(!refused.iter().any(|refused| refused == id), "{id} has run");
+        }
+    }
+}
+
+/// Head of a request of team A whose body has a length.
+pub fn sized_head(path: &str, id: &str, len: usize) -> String {
+    head(path, id, &format!("content-length: {len}\r\n"))
+}
+
+/// Head of a request of team A whose body is sent in chunks.
+pub fn chunked_head(path: &str, id: &str) -> String {
+    head(path, id, "transfer-encoding: chunked\r\n")
+}
+
+fn head(path: &str, id: &str, framing: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\nauthorization: Bearer key-a\r\n{framing}\r\n"
+    )
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,6 +4,7 @@
 //! command language; see `tests/util/script.rs`.  The other files test the
 //! decision core and the public interfaces.
 
+#[allow(dead_code, reason = "other test programs use the rest of the helpers")]
 mod util;
 
 mod admission;
--- a/tests/util/cluster.rs
+++ b/tests/util/cluster.rs
@@ -19,7 +19,7 @@
 use store::BILL_STREAM;
 use tempfile::TempDir;
 
-use super::process::{Daemon, PROGRAM};
+use super::process::{Daemon, PROGRAM, command_with_descriptors};
 
 /// Token of the operator `alice`.
 pub const OPERATOR_TOKEN: &str = "alice-token";
@@ -54,6 +54,8 @@
     dir: TempDir,
     /// Settings of every daemon started from now on, `section.key` to value.
     pub common_settings: BTreeMap<String, String>,
+    /// Maximum number of open descriptors of every daemon started from now on.
+    pub descriptors_max: Option<u32>,
 }
 
 impl Cluster {
@@ -86,6 +88,7 @@
             peer_addresses: BTreeMap::new(),
             dir,
             common_settings: common,
+            descriptors_max: None,
         };
         cluster.write_secrets("first-key", None);
         cluster
@@ -191,7 +194,13 @@
 
     fn spawn(&mut self, name: &str, command: &str, config: PathBuf) {
         let log = self.log_path(name);
-        let daemon = Daemon::start(command, &config, &log);
+        let daemon = match self.descriptors_max {
+            Some(max) => {
+                let program = command_with_descriptors(max);
+                Daemon::start_program(program, command, &config, &log)
+            }
+            None => Daemon::start(command, &config, &log),
+        };
         self.peer_addresses
             .insert(name.to_owned(), daemon.address("peers"));
         self.daemons.insert(name.to_owned(), daemon);
--- a/tests/util/gateway_harness.rs
+++ b/tests/util/gateway_harness.rs
@@ -16,7 +16,8 @@
     net::TcpStream,
 };
 
-use super::process::PROGRAM;
+use super::process::{PROGRAM, command_with_descriptors};
+use super::process_stats::{descriptors, memory_peak_kib, unread_kib};
 
 /// Maximum time for an expected condition to hold.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
@@ -45,6 +46,25 @@
 impl GatewayProcess {
     /// Starts a gateway with `extra` lines in its `[gateway]` section.
     pub fn start(dir: &TempDir, store: SocketAddr, extra: &str) -> GatewayProcess {
+        GatewayProcess::start_command(Command::new(PROGRAM), dir, store, extra)
+    }
+
+    /// Like [`GatewayProcess::start`], with at most `descriptors_max` open descriptors.
+    pub fn start_with_descriptors(
+        dir: &TempDir,
+        store: SocketAddr,
+        descriptors_max: u32,
+    ) -> GatewayProcess {
+        let command = command_with_descriptors(descriptors_max);
+        GatewayProcess::start_command(command, dir, store, "")
+    }
+
+    fn start_command(
+        mut command: Command,
+        dir: &TempDir,
+        store: SocketAddr,
+        extra: &str,
+    ) -> GatewayProcess {
         let file = tempfile::Builder::new().suffix(".ini").tempfile_in(dir);
         let (_, file) = file
             .expect("creates the settings file")
@@ -54,7 +74,7 @@
             "[process]\nroom = a\ninstance = g1\n[store]\naddress = {store}\ntimeout_ms = 300\npoll_wait_ms = 300\n[gateway]\nlisten = 127.0.0.1:0\nready_listen = 127.0.0.1:0\nmetrics_listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\n{extra}"
         );
         std::fs::write(&file, settings).expect("writes the settings");
-        let mut child = Command::new(PROGRAM)
+        let mut child = command
             .arg("gateway")
             .env("CURRANTBANK_BOOT", &file)
             .stdin(Stdio::null())
@@ -139,13 +159,17 @@
 
     /// Returns the largest amount of memory that the process has used so far, KiB.
     pub fn memory_peak_kib(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path).expect("the process runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let number = line.and_then(|line| line.split_whitespace().next());
-        number
-            .and_then(|number| number.parse().ok())
-            .expect("the status has the peak")
+        memory_peak_kib(self.child.id())
+    }
+
+    /// Returns how much callers have sent that the process has not read, KiB.
+    pub fn unread_kib(&self) -> u64 {
+        unread_kib(self.callers)
+    }
+
+    /// Returns the number of open descriptors.
+    pub fn descriptors(&self) -> usize {
+        descriptors(self.child.id())
     }
 
     pub fn signal(&self, signal: Signal) {
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -17,6 +17,16 @@
 /// Maximum time for a process to exit.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(90);
 
+/// A command that runs the binary with at most `descriptors_max` open descriptors.
+pub fn command_with_descriptors(descriptors_max: u32) -> Command {
+    let mut command = Command::new("sh");
+    command
+        .arg("-c")
+        .arg(format!("ulimit -n {descriptors_max} && exec \"$0\" \"$@\""))
+        .arg(PROGRAM);
+    command
+}
+
 /// A running daemon; killed on drop.
 pub struct Daemon {
     child: Child,
@@ -27,12 +37,22 @@
 impl Daemon {
     /// Starts `currantbank COMMAND --config FILE` and waits for its addresses.
     pub fn start(command: &str, config: &Path, log: &Path) -> Daemon {
+        Daemon::start_program(Command::new(PROGRAM), command, config, log)
+    }
+
+    /// Like [`Daemon::start`], for a `program` that runs the binary.
+    pub fn start_program(
+        mut program: Command,
+        command: &str,
+        config: &Path,
+        log: &Path,
+    ) -> Daemon {
         let stderr = std::fs::File::options()
             .create(true)
             .append(true)
             .open(log)
             .expect("opens the log file");
-        let mut child = Command::new(PROGRAM)
+        let mut child = program
             .arg(command)
             .arg("--config")
             .arg(config)
@@ -62,6 +82,11 @@
         self.addresses[name]
     }
 
+    /// Id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         let _ = kill_process(pid, signal);
