Copy a body into one buffer as it arrives

Callers saw their gateway killed for its memory after clients had sent bodies of legal size in very small chunks.

Cause: `collect` keeps each piece of a body by itself.

Change: `ingress::read_body` copies the pieces into one buffer that grows by doubling up to the limit, for callers' bodies at gateway and entry, and for the answers and the peers' configuration that the gateway buffers. A body that declares more than the limit is refused before it is read, also at the entry.

Why it works: what is held is the content's capacity, whatever the pieces.

--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -5,7 +5,7 @@
 use ::http::{HeaderMap, header};
 use bytes::Bytes;
 use config::TeamSpec;
-use http_body_util::{BodyExt, Limited};
+use ingress::BodyError;
 use store::ConfigHealth;
 use volo_http::body::Body;
 
@@ -140,18 +140,15 @@
 
 pub(super) async fn read_body(
     entry: &Entry,
-    body: Body,
+    mut body: Body,
 ) -> Result<Bytes, RequestError> {
     let settings = &entry.node.settings.entry;
     let max = settings.body_max_bytes;
     let timeout = Duration::from_millis(settings.body_timeout_ms);
-    let collected =
-        tokio::time::timeout(timeout, Limited::new(body, max).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            Err(ErrorKind::BodyTooLarge(max).into())
-        }
-        Ok(Err(_)) | Err(_) => Err(ErrorKind::BodyIncomplete.into()),
+    let reading = ingress::read_body(&mut body, max);
+    match tokio::time::timeout(timeout, reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong)) => Err(ErrorKind::BodyTooLarge(max).into()),
+        Ok(Err(BodyError::Broken)) | Err(_) => Err(ErrorKind::BodyIncomplete.into()),
     }
 }
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -6,8 +6,8 @@
 use catalog::{Catalog, RetrySafety, Route};
 use clock::Millis;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
+use ingress::BodyError;
 use platform::Prompt;
 use route::{StartWait, digest_text, prefix_digests};
 
@@ -286,20 +286,12 @@
     Ok(team)
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let declared = body.size_hint().exact();
-    if declared.is_some_and(|bytes| bytes > max_bytes as u64) {
-        return Err(BODY_TOO_LONG);
-    }
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let collected = Limited::new(body, max_bytes).collect().await;
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(BODY_TOO_LONG),
-        Err(_) => Err(BODY_BROKEN),
-    }
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
+    let read = ingress::read_body(&mut body, max_bytes).await;
+    read.map_err(|err| match err {
+        BodyError::TooLong => BODY_TOO_LONG,
+        BodyError::Broken => BODY_BROKEN,
+    })
 }
 
 /// Returns the headers without hop-by-hop headers and those that only the
--- a/crates/gateway/src/config_fetch.rs
+++ b/crates/gateway/src/config_fetch.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use clock::Millis;
 use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use link::Connection;
 use log::warn;
 
@@ -67,6 +67,6 @@
     if response.status() != StatusCode::OK {
         return None;
     }
-    let body = Limited::new(response.into_body(), RECORD_MAX_BYTES);
-    Some(body.collect().await.ok()?.to_bytes())
+    let mut body = response.into_body();
+    ingress::read_body(&mut body, RECORD_MAX_BYTES).await.ok()
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,8 +6,8 @@
 use catalog::Endpoint;
 use clock::Millis;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use ingress::BodyError;
 use route::{HealthSample, Sampling, first_size};
 
 use crate::{
@@ -447,21 +447,18 @@
             connection,
             mut in_flight,
         } = answer;
-        let (mut head, body) = response.into_parts();
+        let (mut head, mut body) = response.into_parts();
         let keep_alive = KeepAlive::of(&head.headers);
         let limit = Duration::from_millis(self.body_timeout_ms());
-        let reading = Limited::new(body, BUFFERED_MAX_BYTES).collect();
+        let reading = ingress::read_body(&mut body, BUFFERED_MAX_BYTES);
         let read = tokio::time::timeout(limit, reading).await;
         let Ok(Ok(body)) = read else {
             in_flight.record_health(HealthSample::Failure, "answer_broken");
-            if let Ok(Err(err)) = &read
-                && !err.is::<LengthLimitError>()
-            {
+            if let Ok(Err(BodyError::Broken)) = read {
                 in_flight.record_cut(&self.req, "answer_broken");
             }
             return AttemptOutcome::Failed(Failure::MayHaveRun("answer_broken"));
         };
-        let body = body.to_bytes();
         if body.is_empty() && lacks_end(&self.req, &head) {
             in_flight.record_health(HealthSample::Failure, "answer_broken");
             in_flight.record_cut(&self.req, "answer_broken");
