Wait for a body no longer than for its request's deadline

Callers who sent a body but for its last byte kept their request open for as long as they liked; a gateway that was stopped beside one of them never ended by itself.

Cause: the time of a request was only looked at after its whole body had been read, and a connection with a request on it is never checked for idleness.

Change: `CallerBody::read` ends with the request's deadline, answers 408 `body_too_slow` and closes the connection. While the gateway stops, a body is given up (503 `stopping`) once its request could not end before the kill. Refusals that leave a part of a body unread all say `Connection: close`.

Why it works: after the deadline no endpoint could be given the request, so nothing that could be served is refused; a slow client inside its time is served as before.

--- /dev/null
+++ b/crates/gateway/src/caller_body.rs
@@ -0,0 +1,86 @@
+//! The body of a caller's request.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use clock::Millis;
+use http::StatusCode;
+use hyper::body::{Body, Incoming};
+use ingress::BodyError;
+
+use crate::{
+    refusal::{Refusal, refusal},
+    state::Gateway,
+};
+
+/// Interval of checks whether the stop of this gateway cuts a body off, ms.
+const STOP_CHECK_MS: u64 = 250;
+
+const BODY_TOO_LONG: Refusal = refusal(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
+const BODY_BROKEN: Refusal = refusal(StatusCode::BAD_REQUEST, "body_broken");
+/// The deadline passed before the end of the body, so no endpoint can get the request.
+const BODY_TOO_SLOW: Refusal = refusal(StatusCode::REQUEST_TIMEOUT, "body_too_slow");
+/// The stop of this gateway could cut the request off.
+pub(crate) const STOPPING: Refusal =
+    refusal(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+
+/// The body of a caller's request, until it has been read.
+#[derive(Debug)]
+pub(crate) struct CallerBody {
+    incoming: Incoming,
+    is_read: bool,
+}
+
+impl CallerBody {
+    pub fn new(incoming: Incoming) -> Self {
+        CallerBody {
+            incoming,
+            is_read: false,
+        }
+    }
+
+    /// Whether a part of the body has not been read.
+    pub fn is_unread(&self) -> bool {
+        !self.is_read && !self.incoming.is_end_stream()
+    }
+
+    /// Reads the whole body, or returns why its request is refused.
+    ///
+    /// The wait for a body that stops short ends with the request's deadline, or when the
+    /// stop of the gateway would cut the request off.
+    pub async fn read(
+        &mut self,
+        gateway: &Gateway,
+        deadline: Millis,
+    ) -> Result<Bytes, Refusal> {
+        let max_bytes = gateway.limits().body_max_bytes;
+        let left = Duration::from_millis(deadline.since(gateway.now()));
+        let reading = ingress::read_body(&mut self.incoming, max_bytes);
+        let read = tokio::select! {
+            read = tokio::time::timeout(left, reading) => read,
+            () = stop_reached(gateway, deadline) => return Err(STOPPING),
+        };
+        let bytes = match read {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(BodyError::TooLong)) => return Err(BODY_TOO_LONG),
+            Ok(Err(BodyError::Broken)) => return Err(BODY_BROKEN),
+            Err(_) => return Err(BODY_TOO_SLOW),
+        };
+        self.is_read = true;
+        Ok(bytes)
+    }
+}
+
+/// Waits until this gateway is stopping and takes no request with this deadline.
+async fn stop_reached(gateway: &Gateway, deadline: Millis) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(STOP_CHECK_MS)).await;
+        let left_ms = deadline.since(gateway.now());
+        let is_taken = gateway
+            .stopping()
+            .is_none_or(|stopping| stopping.takes_request(left_ms));
+        if !is_taken {
+            return;
+        }
+    }
+}
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -6,14 +6,13 @@
 use catalog::{Catalog, RetrySafety, Route};
 use clock::Millis;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
-use hyper::body::Incoming;
-use ingress::BodyError;
 use platform::Prompt;
 use route::{StartWait, digest_text, prefix_digests};
 
 use crate::{
+    caller_body::{CallerBody, STOPPING},
     quarantine::{Components, RequestContent},
-    refusal::Refusal,
+    refusal::{Refusal, refusal},
     state::Gateway,
 };
 
@@ -32,23 +31,11 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-const fn refusal(status: StatusCode, reason: &'static str) -> Refusal {
-    Refusal {
-        status,
-        reason,
-        available_in_ms: None,
-    }
-}
-
 /// No request can be checked before the first configuration.
 const NOT_READY: Refusal = refusal(StatusCode::SERVICE_UNAVAILABLE, "no_configuration");
-/// The stop of this gateway could cut the request off.
-const STOPPING: Refusal = refusal(StatusCode::SERVICE_UNAVAILABLE, "stopping");
 const BAD_ID: Refusal = refusal(StatusCode::BAD_REQUEST, "bad_request_id");
 const HEAD_TOO_LONG: Refusal =
     refusal(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_long");
-const BODY_TOO_LONG: Refusal = refusal(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
-const BODY_BROKEN: Refusal = refusal(StatusCode::BAD_REQUEST, "body_broken");
 const NO_ROUTE: Refusal = refusal(StatusCode::NOT_FOUND, "no_route");
 const NO_KEY: Refusal = refusal(StatusCode::UNAUTHORIZED, "unknown_key");
 
@@ -121,18 +108,18 @@
 /// refusal if the request is not allowed.
 pub(crate) async fn read_request(
     gateway: &Gateway,
-    request: Request<Incoming>,
+    head: http::request::Parts,
+    body: &mut CallerBody,
     started: Millis,
 ) -> Result<CallerRequest, Refusal> {
-    let (head, body) = request.into_parts();
     let deadline_ms = deadline_ms(gateway, &head.headers);
     let is_started = gateway.has_initial_state();
     let routed = is_started.then(|| route_head(gateway, &head));
     // Read even if the head is refused: the rest of the body must not be
     // parsed as the next request. It is read before a wait for the configuration, since
     // callers give up a request that nobody reads.
-    let limits = gateway.limits();
-    let body = read_body(body, limits.body_max_bytes).await?;
+    let body_deadline = body_deadline(gateway, routed.as_ref(), deadline_ms, started);
+    let body = body.read(gateway, body_deadline).await?;
     let routed = match routed {
         Some(routed) => routed,
         None => route_at_start(gateway, &head, deadline_ms).await,
@@ -147,10 +134,7 @@
 
     let names = &gateway.names;
     let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
-    let deadline_ms = deadline_ms
-        .unwrap_or(route.timeout_ms)
-        .min(route.timeout_ms);
-    let deadline = started.plus(deadline_ms);
+    let deadline = started.plus(kept_ms(route, deadline_ms));
     let prompt = Prompt::from_headers(&head.headers, names);
     let parts = prompt.parts.iter().map(|part| (part.id, part.tokens));
     let any_model = !route.candidate_models.is_empty()
@@ -222,6 +206,27 @@
     text.trim().parse().ok()
 }
 
+/// Returns how long the caller is kept waiting at most, ms.
+fn kept_ms(route: &Route, deadline_ms: Option<u64>) -> u64 {
+    let timeout_ms = route.timeout_ms;
+    deadline_ms.unwrap_or(timeout_ms).min(timeout_ms)
+}
+
+/// Returns until when the body may arrive: until the request's deadline. If the route is
+/// not known and the caller names no deadline, it is the time for which it may be idle.
+fn body_deadline(
+    gateway: &Gateway,
+    routed: Option<&Result<Routed, Refusal>>,
+    deadline_ms: Option<u64>,
+    started: Millis,
+) -> Millis {
+    let kept_ms = match routed {
+        Some(Ok(routed)) => kept_ms(routed.route(), deadline_ms),
+        _ => deadline_ms.unwrap_or(gateway.limits().idle_timeout_ms),
+    };
+    started.plus(kept_ms)
+}
+
 /// Route and team of a request in the current configuration.
 struct Routed {
     catalog: Rc<Catalog>,
@@ -231,6 +236,12 @@
     priority: Option<u8>,
 }
 
+impl Routed {
+    fn route(&self) -> &Route {
+        &self.catalog.routes[self.route_index]
+    }
+}
+
 /// Finds the route and the team of a request, or returns why it is refused.
 fn route_head(
     gateway: &Gateway,
@@ -286,14 +297,6 @@
     Ok(team)
 }
 
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let read = ingress::read_body(&mut body, max_bytes).await;
-    read.map_err(|err| match err {
-        BodyError::TooLong => BODY_TOO_LONG,
-        BodyError::Broken => BODY_BROKEN,
-    })
-}
-
 /// Returns the headers without hop-by-hop headers and those that only the
 /// gateway sets.
 fn forwarded_headers(headers: &HeaderMap, reserved: &[HeaderName]) -> HeaderMap {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,9 +13,10 @@
 use crate::{
     attempt::{Answer, ExtraHeaders, Failure, InFlight, KeepAlive, attempt, is_framed},
     body::ResponseBody,
+    caller_body::CallerBody,
     caller_request::{CallerRequest, read_request, request_id, strip_connection},
     placement::Escalation,
-    refusal::{Refusal, refuse},
+    refusal::{Refusal, refuse, refuse_unread},
     relay::Relay,
     request_log::RequestLog,
     retry_budgets::RetryCharge,
@@ -47,12 +48,15 @@
     let id = request_id(gateway, &request);
     let logged_id = id.as_deref().unwrap_or("-");
     let log = RequestLog::new(gateway, logged_id, started);
+    let (head, incoming) = request.into_parts();
+    let mut body = CallerBody::new(incoming);
     let read = match id {
-        Ok(_) => read_request(gateway, request, started).await,
+        Ok(_) => read_request(gateway, head, &mut body, started).await,
         Err(refusal) => Err(refusal),
     };
     match read {
         Ok(req) => Dispatch::new(gateway, req, log).run().await,
+        Err(refusal) if body.is_unread() => refuse_unread(&log, refusal),
         Err(refusal) => refuse(&log, refusal),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod body;
+mod caller_body;
 mod caller_request;
 mod caller_server;
 mod config_fetch;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -22,6 +22,15 @@
     pub available_in_ms: Option<u64>,
 }
 
+/// A refusal that tells no time at which to return.
+pub(crate) const fn refusal(status: StatusCode, reason: &'static str) -> Refusal {
+    Refusal {
+        status,
+        reason,
+        available_in_ms: None,
+    }
+}
+
 /// Builds the gateway's own answer to a request that has not run and will not.
 pub(crate) fn refuse(log: &RequestLog, refusal: Refusal) -> Response<ResponseBody> {
     log.ended(refusal.status.as_u16(), refusal.reason);
@@ -36,10 +45,18 @@
         let after_s = available_in_s + rand::rng().random_range(RETRY_AFTER_S);
         set_retry_after(headers, after_s);
     }
-    // The unread rest of the body must not be parsed as the next request.
-    if refusal.status == StatusCode::PAYLOAD_TOO_LARGE {
-        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
+    response
+}
+
+/// Like [`refuse`], for a request whose body was not read to its end.
+pub(crate) fn refuse_unread(
+    log: &RequestLog,
+    refusal: Refusal,
+) -> Response<ResponseBody> {
+    let mut response = refuse(log, refusal);
+    // The rest of the body must not be parsed as the next request.
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
     response
 }
 
