Keep nothing of a body whose request is refused for its head

Clients without a key took as much memory as callers; clients that were refused while they were still sending saw a reset instead of the reason.

Cause: the body of a refused request was collected only to keep its connection. A length over the limit was refused before the body was read, but the connection was then closed with bytes unread, which resets it.

Change: a request that its head refuses is answered at once. The connection goes on only if the rest is short (64 KiB at most); 408 always closes it.

--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -16,6 +16,9 @@
 /// Interval of checks whether the stop of this gateway cuts a body off, ms.
 const STOP_CHECK_MS: u64 = 250;
 
+/// Maximum length of a body that is discarded without closing its connection, bytes.
+const SHORT_BODY_BYTES: u64 = 64 * 1024;
+
 const BODY_TOO_LONG: Refusal = refusal(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
 const BODY_BROKEN: Refusal = refusal(StatusCode::BAD_REQUEST, "body_broken");
 /// The deadline passed before the end of the body, so no endpoint can get the request.
@@ -44,6 +47,18 @@
         !self.is_read && !self.incoming.is_end_stream()
     }
 
+    /// Whether the body declares a length that is read at once, so that its connection can
+    /// take another request.
+    pub fn is_short(&self) -> bool {
+        let declared = self.incoming.size_hint().exact();
+        declared.is_some_and(|len| len <= SHORT_BODY_BYTES)
+    }
+
+    /// Returns the rest of the body, which is to be discarded.
+    pub fn into_rest(self) -> Incoming {
+        self.incoming
+    }
+
     /// Reads the whole body, or returns why its request is refused.
     ///
     /// The wait for a body that stops short ends with the request's deadline, or when the
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -115,21 +115,22 @@
     let deadline_ms = deadline_ms(gateway, &head.headers);
     let is_started = gateway.has_initial_state();
     let routed = is_started.then(|| route_head(gateway, &head));
-    // Read even if the head is refused: the rest of the body must not be
-    // parsed as the next request. It is read before a wait for the configuration, since
-    // callers give up a request that nobody reads.
+    // A request that is refused for its head takes no memory for its body.
+    let routed = routed.transpose()?;
     let body_deadline = body_deadline(gateway, routed.as_ref(), deadline_ms, started);
+    // Read before a wait for the configuration, since callers give up a request that
+    // nobody reads.
     let body = body.read(gateway, body_deadline).await?;
     let routed = match routed {
         Some(routed) => routed,
-        None => route_at_start(gateway, &head, deadline_ms).await,
+        None => route_at_start(gateway, &head, deadline_ms).await?,
     };
     let Routed {
         catalog,
         route_index,
         team,
         priority,
-    } = routed?;
+    } = routed;
     let route = &catalog.routes[route_index];
 
     let names = &gateway.names;
@@ -216,13 +217,13 @@
 /// not known and the caller names no deadline, it is the time for which it may be idle.
 fn body_deadline(
     gateway: &Gateway,
-    routed: Option<&Result<Routed, Refusal>>,
+    routed: Option<&Routed>,
     deadline_ms: Option<u64>,
     started: Millis,
 ) -> Millis {
     let kept_ms = match routed {
-        Some(Ok(routed)) => kept_ms(routed.route(), deadline_ms),
-        _ => deadline_ms.unwrap_or(gateway.limits().idle_timeout_ms),
+        Some(routed) => kept_ms(routed.route(), deadline_ms),
+        None => deadline_ms.unwrap_or(gateway.limits().idle_timeout_ms),
     };
     started.plus(kept_ms)
 }
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -52,8 +52,10 @@
 /// State of a caller's connection.
 #[derive(Debug)]
 pub(crate) struct ConnectionState {
-    gateway: Rc<Gateway>,
+    pub gateway: Rc<Gateway>,
     busy: Cell<bool>,
+    /// Whether the rest of a refused body is being discarded.
+    discarding: Cell<bool>,
     head_since: Cell<Option<Millis>>,
     idle_since: Cell<Millis>,
 }
@@ -66,6 +68,7 @@
         ConnectionState {
             gateway,
             busy: Cell::default(),
+            discarding: Cell::default(),
             head_since: Cell::default(),
             idle_since,
         }
@@ -92,8 +95,15 @@
         }
     }
 
+    /// Records that the rest of a refused body is discarded until the result is dropped.
+    pub fn start_discarding(self: &Rc<Self>) -> Discarding {
+        self.discarding.set(true);
+        Discarding(self.clone())
+    }
+
     fn bytes_received(&self) {
-        if !self.busy.get() && self.head_since.get().is_none() {
+        let is_body = self.busy.get() || self.discarding.get();
+        if !is_body && self.head_since.get().is_none() {
             self.head_since.set(Some(self.gateway.now()));
         }
     }
@@ -107,6 +117,17 @@
     }
 }
 
+/// The discarding of a refused body's rest on a connection, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Discarding(Rc<ConnectionState>);
+
+impl Drop for Discarding {
+    fn drop(&mut self) {
+        self.0.discarding.set(false);
+        self.0.idle_since.set(self.0.gateway.now());
+    }
+}
+
 /// A caller's socket that records when bytes arrive.
 struct CallerStream {
     stream: TcpStream,
@@ -215,6 +236,9 @@
             Check::Keep
         };
     }
+    if state.discarding.get() {
+        return Check::Keep;
+    }
     if let Some(since) = state.head_since.get() {
         let late = now.since(since) > limits.head_timeout_ms;
         return if late {
@@ -245,8 +269,7 @@
             let state = state.clone();
             async move {
                 let started = state.request_started();
-                let gateway = state.gateway.clone();
-                let response = dispatch::handle(&gateway, request, started).await;
+                let response = dispatch::handle(&state, request, started).await;
                 Ok::<_, Infallible>(response.map(|body| body.for_connection(state)))
             }
         })
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use catalog::Endpoint;
 use clock::Millis;
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use ingress::BodyError;
 use route::{HealthSample, Sampling, first_size};
@@ -15,8 +15,10 @@
     body::ResponseBody,
     caller_body::CallerBody,
     caller_request::{CallerRequest, read_request, request_id, strip_connection},
+    caller_server::ConnectionState,
+    discard::discard,
     placement::Escalation,
-    refusal::{Refusal, refuse, refuse_unread},
+    refusal::{Refusal, refuse},
     relay::Relay,
     request_log::RequestLog,
     retry_budgets::RetryCharge,
@@ -41,10 +43,11 @@
 
 /// Serves one request from its head to its answer.
 pub(crate) async fn handle(
-    gateway: &Rc<Gateway>,
+    connection: &Rc<ConnectionState>,
     request: Request<Incoming>,
     started: Millis,
 ) -> Response<ResponseBody> {
+    let gateway = &connection.gateway;
     let id = request_id(gateway, &request);
     let logged_id = id.as_deref().unwrap_or("-");
     let log = RequestLog::new(gateway, logged_id, started);
@@ -56,11 +59,30 @@
     };
     match read {
         Ok(req) => Dispatch::new(gateway, req, log).run().await,
-        Err(refusal) if body.is_unread() => refuse_unread(&log, refusal),
-        Err(refusal) => refuse(&log, refusal),
+        Err(refusal) => refuse_caller(connection, &log, refusal, body),
     }
 }
 
+/// Refuses a request, and reads the rest of its body without keeping it.
+fn refuse_caller(
+    connection: &Rc<ConnectionState>,
+    log: &RequestLog,
+    refusal: Refusal,
+    body: CallerBody,
+) -> Response<ResponseBody> {
+    let mut response = refuse(log, refusal);
+    if body.is_unread() {
+        let is_slow = refusal.status == StatusCode::REQUEST_TIMEOUT;
+        if is_slow || !body.is_short() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        let max_bytes = connection.gateway.limits().body_max_bytes;
+        discard(connection, body.into_rest(), max_bytes);
+    }
+    response
+}
+
 /// The state of one request across its attempts.
 pub(crate) struct Dispatch {
     pub gateway: Rc<Gateway>,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -48,18 +48,6 @@
     response
 }
 
-/// Like [`refuse`], for a request whose body was not read to its end.
-pub(crate) fn refuse_unread(
-    log: &RequestLog,
-    refusal: Refusal,
-) -> Response<ResponseBody> {
-    let mut response = refuse(log, refusal);
-    // The rest of the body must not be parsed as the next request.
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(header::CONNECTION, close);
-    response
-}
-
 fn set_retry_after(headers: &mut HeaderMap, after_s: f64) {
     if let Ok(value) = HeaderValue::from_str(&format!("{after_s:.2}")) {
         headers.insert(header::RETRY_AFTER, value);
--- a/tests/clients/bodies.rs
+++ b/tests/clients/bodies.rs
@@ -2,6 +2,10 @@
 
 use rustix::process::Signal;
 use standin::ScriptedEndpoint;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::{
     ALONE,
@@ -107,6 +111,37 @@
     assert!(fixture.held.received().is_empty());
 }
 
+/// A connection that is closed with bytes unread is reset, and its client may not get to
+/// read why.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_reaches_a_client_that_is_still_sending() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let len = BODY_MAX_BYTES + BODY_MAX_BYTES / 4;
+    let too_long = sized_head("/held/", "s1", len);
+    let without_key =
+        sized_head("/held/", "s2", BODY_MAX_BYTES).replace("key-a", "unknown");
+    for (head, sent, status) in
+        [(too_long, len, 413), (without_key, BODY_MAX_BYTES, 401)]
+    {
+        let mut stream = TcpStream::connect(fixture.gateway.callers)
+            .await
+            .expect("the gateway accepts");
+        stream
+            .write_all(head.as_bytes())
+            .await
+            .expect("the head is sent");
+        let body = vec![b'd'; sent];
+        stream.write_all(&body).await.expect("the body is sent");
+        let mut answer = String::new();
+        let read = stream.read_to_string(&mut answer).await;
+        read.expect("the connection ends without a reset");
+        let status_line = format!("HTTP/1.1 {status} ");
+        assert!(answer.starts_with(&status_line), "{answer}");
+    }
+    assert!(fixture.held.received().is_empty());
+}
+
 /// A body that never ends must not keep its request open for good.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_that_stop_short_end_while_their_clients_stay() {
