Bound what the bodies of all requests hold together

Cause: each body was read by itself, and nothing added them up.

Change: `ingress::BodyAccount`, pure, decides which bodies may be held, out of 30 percent of the instance's memory (setting process.memory_mb, filled in by the platform; 0 takes what /proc/meminfo reports). Long bodies leave a quarter to short ones; room is made at the cost of bodies that stand still or cannot arrive by their deadline; what has no room is refused at once, with 503 and a time to return. `ingress::Bodies` reads bodies within the account, and gives back on every way out. One body of the longest legal length always fits.

Why it works: what is held is reserved before a buffer grows. `largest_body_is_served_beside_bodies_that_stop_short` shows that the crowd keeps nobody out.

--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use clock::Millis;
 use http::StatusCode;
 use hyper::body::{Body, Incoming};
-use ingress::BodyError;
+use ingress::{BodyError, HeldBody, ReadError};
 
 use crate::{
     refusal::{Refusal, refusal},
@@ -19,6 +18,11 @@
 /// Maximum length of a body that is discarded without closing its connection, bytes.
 const SHORT_BODY_BYTES: u64 = 64 * 1024;
 
+/// The bodies of other requests leave no room for this one.
+const BODY_NO_ROOM: Refusal = refusal(StatusCode::SERVICE_UNAVAILABLE, "body_no_room");
+/// The body gave way to others while it was waited for.
+const BODY_GAVE_WAY: Refusal =
+    refusal(StatusCode::SERVICE_UNAVAILABLE, "body_gave_way");
 const BODY_TOO_LONG: Refusal = refusal(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
 const BODY_BROKEN: Refusal = refusal(StatusCode::BAD_REQUEST, "body_broken");
 /// The deadline passed before the end of the body, so no endpoint can get the request.
@@ -67,22 +71,25 @@
         &mut self,
         gateway: &Gateway,
         deadline: Millis,
-    ) -> Result<Bytes, Refusal> {
+    ) -> Result<HeldBody, Refusal> {
         let max_bytes = gateway.limits().body_max_bytes;
-        let left = Duration::from_millis(deadline.since(gateway.now()));
-        let reading = ingress::read_body(&mut self.incoming, max_bytes);
+        let reading = gateway.bodies.read(&mut self.incoming, max_bytes, deadline);
         let read = tokio::select! {
-            read = tokio::time::timeout(left, reading) => read,
-            () = stop_reached(gateway, deadline) => return Err(STOPPING),
+            read = reading => read.map_err(refusal_of),
+            () = stop_reached(gateway, deadline) => Err(STOPPING),
         };
-        let bytes = match read {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(BodyError::TooLong)) => return Err(BODY_TOO_LONG),
-            Ok(Err(BodyError::Broken)) => return Err(BODY_BROKEN),
-            Err(_) => return Err(BODY_TOO_SLOW),
-        };
-        self.is_read = true;
-        Ok(bytes)
+        self.is_read = read.is_ok();
+        read
+    }
+}
+
+fn refusal_of(err: ReadError) -> Refusal {
+    match err {
+        ReadError::Body(BodyError::TooLong) => BODY_TOO_LONG,
+        ReadError::Body(BodyError::Broken) => BODY_BROKEN,
+        ReadError::NoRoom => BODY_NO_ROOM,
+        ReadError::GaveWay => BODY_GAVE_WAY,
+        ReadError::TooSlow => BODY_TOO_SLOW,
     }
 }
 
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use catalog::{Catalog, RetrySafety, Route};
 use clock::Millis;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
+use ingress::HeldBody;
 use platform::Prompt;
 use route::{StartWait, digest_text, prefix_digests};
 
@@ -47,7 +47,7 @@
     /// Path and query.
     pub target: String,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: HeldBody,
     pub catalog: Rc<Catalog>,
     route_index: usize,
     /// Service that the route selects for this request.
--- a/crates/gateway/src/internal_server.rs
+++ b/crates/gateway/src/internal_server.rs
@@ -53,7 +53,7 @@
     let (status, text) = match path {
         platform::READY_PATH if gateway.is_ready() => (StatusCode::OK, String::new()),
         platform::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-        "/metrics" => (StatusCode::OK, gateway.stats.render()),
+        "/metrics" => (StatusCode::OK, metrics(gateway)),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
@@ -61,6 +61,13 @@
     response
 }
 
+fn metrics(gateway: &Gateway) -> String {
+    gateway.stats.render(&[
+        ("bodies_held_bytes", gateway.bodies.held_bytes()),
+        ("bodies_bound_bytes", gateway.bodies.bound_bytes()),
+    ])
+}
+
 /// Returns the record of the current configuration, for another gateway.
 fn configuration(gateway: &Gateway) -> Response<Full<Bytes>> {
     let record = gateway.catalog_record.borrow().clone();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -183,7 +183,7 @@
             HeaderValue::from(u16::from(priority)),
         );
     }
-    let mut request = Request::new(Full::new(req.body.clone()));
+    let mut request = Request::new(Full::new(Bytes::clone(&req.body)));
     *request.method_mut() = req.method.clone();
     *request.uri_mut() = req.target.parse().unwrap_or_default();
     *request.headers_mut() = headers;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use catalog::{Catalog, Limits};
 use clock::{Clock, Millis, SystemClock};
+use ingress::{Bodies, MemoryShares};
 use log::{info, warn};
 use platform::HeaderNames;
 use route::{
@@ -57,6 +58,8 @@
     /// Names of the platform's headers.
     pub names: HeaderNames,
     pub clock: SystemClock,
+    /// Bodies of callers' requests.
+    pub bodies: Bodies,
     /// Settings of the choice among a route's candidate models.
     pub sizes: SizeSettings,
     pub pool: RefCell<Pool>,
@@ -115,6 +118,7 @@
     pub fn new(settings: Settings, own: SocketAddr) -> Self {
         let clock = SystemClock::default();
         let incarnation_ms = clock.wall().0;
+        let memory = MemoryShares::new(settings.process.memory_mb);
         let started = clock.now();
         let peers = Peers::new(own, &settings.process.peers);
         let routing = settings.routing;
@@ -145,6 +149,7 @@
             pacing: ReadPacing::new(wait_ms),
             status_pacing: ReadPacing::new(wait_ms * STATUS_WAIT_FACTOR),
             names: platform::header_names(),
+            bodies: Bodies::new(memory.bodies_bytes(), clock.clone()),
             clock,
             sizes,
             pool: RefCell::new(pool),
--- a/crates/gateway/src/stats.rs
+++ b/crates/gateway/src/stats.rs
@@ -85,15 +85,15 @@
         histograms.entry(key).or_default().add(ms);
     }
 
-    /// Formats all metrics, one value per line.
-    pub fn render(&self) -> String {
+    /// Formats all metrics and the `gauges` of other parts, one value per line.
+    pub fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
-        let gauges = [
-            ("requests_open", &self.requests_open),
-            ("connections_open", &self.connections_open),
+        let own = [
+            ("requests_open", self.requests_open.get()),
+            ("connections_open", self.connections_open.get()),
         ];
-        for (name, gauge) in gauges {
-            let _ = writeln!(text, "currantbank_{name} {}", gauge.get());
+        for (name, value) in own.iter().chain(gauges) {
+            let _ = writeln!(text, "currantbank_{name} {value}");
         }
         for (domain, count) in self.domain_running.borrow().iter() {
             let _ = writeln!(
--- a/crates/ingress/src/body.rs
+++ b/crates/ingress/src/body.rs
@@ -21,10 +21,6 @@
 
 /// Reads a body of at most `max_bytes` into one buffer.
 ///
-/// The content is copied from the pieces in which it arrives: a piece costs tens of bytes
-/// besides its content and keeps the buffer of its read alive, while a sender may make
-/// pieces of one byte.
-///
 /// # Errors
 ///
 /// [`BodyError::TooLong`], before anything is read if the body declares its length;
@@ -33,33 +29,86 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let declared = body.size_hint().exact();
-    if declared.is_some_and(|len| len > max_bytes as u64) {
-        return Err(BodyError::TooLong);
-    }
-    let mut buffer = Vec::new();
+    let declared = declared_len(body, max_bytes)?;
+    let mut buffer = BodyBuffer::new(declared, max_bytes);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Broken)?;
-        let Ok(piece) = frame.into_data() else {
-            continue;
-        };
-        let len = buffer.len() + piece.len();
-        if len > max_bytes {
+        if let Ok(piece) = frame.into_data() {
+            let capacity = buffer.capacity_with(&piece)?;
+            buffer.push(&piece, capacity);
+        }
+    }
+    Ok(buffer.into_bytes())
+}
+
+/// Returns the length that a body declares, if it does, or an error if it is over the
+/// limit.
+pub(crate) fn declared_len<B>(
+    body: &B,
+    max_bytes: usize,
+) -> Result<Option<usize>, BodyError>
+where
+    B: Body,
+{
+    let Some(declared) = body.size_hint().exact() else {
+        return Ok(None);
+    };
+    match usize::try_from(declared) {
+        Ok(len) if len <= max_bytes => Ok(Some(len)),
+        _ => Err(BodyError::TooLong),
+    }
+}
+
+/// The part of a body that has arrived, in one buffer.
+///
+/// The content is copied from the pieces in which it arrives: a piece costs tens of bytes
+/// besides its content and keeps the buffer of its read alive, while a sender may make
+/// pieces of one byte.
+#[derive(Debug)]
+pub(crate) struct BodyBuffer {
+    bytes: Vec<u8>,
+    declared: Option<usize>,
+    max_bytes: usize,
+}
+
+impl BodyBuffer {
+    pub fn new(declared: Option<usize>, max_bytes: usize) -> Self {
+        BodyBuffer {
+            bytes: Vec::new(),
+            declared,
+            max_bytes,
+        }
+    }
+
+    /// Returns the capacity that the first piece needs at most.
+    pub fn first_capacity(&self) -> usize {
+        self.declared
+            .unwrap_or(FIRST_BUFFER_BYTES.min(self.max_bytes))
+    }
+
+    /// Returns the capacity to which the buffer must grow to take `piece`, if it must, or
+    /// an error if the body becomes too long.
+    pub fn capacity_with(&self, piece: &[u8]) -> Result<Option<usize>, BodyError> {
+        let len = self.bytes.len() + piece.len();
+        if len > self.max_bytes {
             return Err(BodyError::TooLong);
         }
-        if len > buffer.capacity() {
-            let capacity = next_capacity(len, declared, max_bytes);
-            buffer.reserve_exact(capacity - buffer.len());
+        if len <= self.bytes.capacity() {
+            return Ok(None);
         }
-        buffer.extend_from_slice(&piece);
+        let doubled = len.next_power_of_two().min(self.max_bytes);
+        Ok(Some(doubled.max(self.first_capacity())))
+    }
+
+    /// Appends `piece`, after growing to `capacity` if there is one.
+    pub fn push(&mut self, piece: &[u8], capacity: Option<usize>) {
+        if let Some(capacity) = capacity {
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(piece);
     }
-    Ok(Bytes::from(buffer))
-}
 
-/// Returns the capacity of a buffer that must hold `len` bytes.
-fn next_capacity(len: usize, declared: Option<u64>, max_bytes: usize) -> usize {
-    match declared {
-        Some(declared) => declared as usize,
-        None => len.next_power_of_two().clamp(FIRST_BUFFER_BYTES, max_bytes),
+    pub fn into_bytes(self) -> Bytes {
+        Bytes::from(self.bytes)
     }
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -3,6 +3,12 @@
 //! Callers are not trusted: a body may come in any pieces, and may never end. See
 //! `docs/design/ingress.md`.
 
+mod account;
+mod bodies;
 mod body;
+mod memory;
 
+pub use account::{BodyAccount, BodyId, BodyStart, NoRoom};
+pub use bodies::{Bodies, HeldBody, ReadError};
 pub use body::{BodyError, read_body};
+pub use memory::MemoryShares;
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -110,6 +110,13 @@
         number(1_000, 86_400_000),
         "Maximum time to wait for work in progress during a graceful shutdown.",
     ),
+    key(
+        "process",
+        "memory_mb",
+        "0",
+        number(0, 1_000_000),
+        "Memory of this instance; 0 for what the machine reports. Bodies of requests may hold 30 percent of it together, and always one of the longest that is allowed.",
+    ),
     key(
         "process",
         "objective",
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -50,6 +50,8 @@
     pub region: String,
     /// Maximum time to wait for work in progress during a graceful shutdown, ms.
     pub drain_timeout_ms: u64,
+    /// Memory of this instance, MB; 0 for what the machine reports.
+    pub memory_mb: u64,
     /// What is minimized when requests are routed.
     pub objective: Objective,
     /// Processes to contact besides those that the platform lists.
@@ -382,6 +384,7 @@
         failure_domain: raw.text("process", "room").to_owned(),
         region: raw.text("process", "region").to_owned(),
         drain_timeout_ms: raw.number("process", "drain_timeout_ms"),
+        memory_mb: raw.number("process", "memory_mb"),
         objective: match raw.text("process", "objective") {
             "latency" => Objective::Latency,
             _ => Objective::Exposure,
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -22,8 +22,11 @@
 /// Held by the test that runs.
 static ALONE: Mutex<()> = Mutex::const_new(());
 
-/// Memory of the smallest machine, KiB; users state it as 88 MB.
-const MEMORY_MAX_KIB: u64 = 88_000_000 / 1_024;
+/// Memory of the users' smallest machine, MB.
+const MEMORY_MB: u64 = 88;
+
+/// The same, KiB.
+const MEMORY_MAX_KIB: u64 = MEMORY_MB * 1_000_000 / 1_024;
 
 /// Descriptors that each process may open in tests that lower this limit.
 const DESCRIPTORS_MAX: u32 = 400;
--- a/tests/clients/bodies.rs
+++ b/tests/clients/bodies.rs
@@ -1,5 +1,7 @@
 //! Large bodies, at once: whole, cut short, in chunks, and over the limit.
 
+use std::time::Duration;
+
 use rustix::process::Signal;
 use standin::ScriptedEndpoint;
 use tokio::{
@@ -28,6 +30,9 @@
 /// Size of a large chunk, bytes.
 const LARGE_CHUNK_BYTES: usize = 64 * 1024;
 
+/// How often a client comes back that is told to.
+const RETURNS_MAX: u32 = 20;
+
 /// Payload of a body that is far over the limit, bytes.
 const FAR_OVER_LIMIT_BYTES: usize = 4 * BODY_MAX_BYTES;
 
@@ -111,6 +116,31 @@
     assert!(fixture.held.received().is_empty());
 }
 
+/// A crowd that stops short must not keep out a large body that arrives, if its client
+/// comes back as it is told.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn largest_body_is_served_beside_bodies_that_stop_short() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| sized_head("/slow/", id, BODY_MAX_BYTES);
+    let payload = vec![b'd'; BODY_MAX_BYTES];
+    let short = payload[1..].to_vec();
+    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, short).await;
+    let mut whole = sized_head("/once/", "s1", BODY_MAX_BYTES).into_bytes();
+    whole.extend_from_slice(&payload);
+    let mut reply = send_bytes(fixture.gateway.callers, &whole).await;
+    for _ in 0..RETURNS_MAX {
+        let Some(after_s) = reply.header("retry-after") else {
+            break;
+        };
+        let after_s = after_s.parse().expect("a number of seconds");
+        tokio::time::sleep(Duration::from_secs_f64(after_s)).await;
+        reply = send_bytes(fixture.gateway.callers, &whole).await;
+    }
+    assert_served(&fixture.plain, &reply, &payload).await;
+    fixture.assert_serves_within_bounds().await;
+}
+
 /// A connection that is closed with bytes unread is reset, and its client may not get to
 /// read why.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -3,11 +3,12 @@
 use standin::{Action, ScriptedEndpoint};
 
 use crate::{
-    DESCRIPTORS_MAX, DESCRIPTORS_RESERVED, MEMORY_MAX_KIB,
+    DESCRIPTORS_MAX, DESCRIPTORS_RESERVED, MEMORY_MAX_KIB, MEMORY_MB,
     util::{
         crowd::Crowd,
         gateway_harness::{
-            GatewayProcess, TestPlatform, configuration_with, request, send,
+            GatewayOptions, GatewayProcess, TestPlatform, configuration_with, request,
+            send,
         },
     },
 };
@@ -21,8 +22,10 @@
 /// Statuses that promise that the request has not run and will not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
-/// Route to an endpoint that runs every request and never answers.
-const HELD_ROUTE: &str = r#",
+/// Routes to an endpoint that runs every request and never answers; bodies under `/slow/`
+/// may take longer than any test.
+const HELD_ROUTES: &str = r#",
+{"name":"slow","host":"h.example","path_prefix":"/slow/","kind":"unsafe","timeout_ms":600000,"slo_ms":100,"priority":2,"service":"held","max_attempts":1,"public":false},
 {"name":"held","host":"h.example","path_prefix":"/held/","kind":"unsafe","timeout_ms":2000,"slo_ms":100,"priority":2,"service":"held","max_attempts":1,"public":false}"#;
 
 /// A gateway with an endpoint that answers and one that holds its requests.
@@ -48,7 +51,7 @@
     async fn start_with(descriptors_max: Option<u32>) -> Fixture {
         let platform = TestPlatform::start().await;
         let limit = format!("\"max_body_bytes\":{BODY_MAX_BYTES}");
-        let configuration = configuration_with(2, HELD_ROUTE)
+        let configuration = configuration_with(2, HELD_ROUTES)
             .replace("\"max_body_bytes\":1000", &limit)
             .replace("\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":60000")
             .replace("\"header_timeout_ms\":3000", "\"header_timeout_ms\":60000")
@@ -61,14 +64,13 @@
         let plain = ScriptedEndpoint::start(Action::Answer).await;
         platform.announce("p1", "plain", &plain);
         platform.announce("h1", "held", &held);
-        let gateway = match descriptors_max {
-            Some(max) => GatewayProcess::start_with_descriptors(
-                &platform.dir,
-                platform.log.address,
-                max,
-            ),
-            None => GatewayProcess::start(&platform.dir, platform.log.address, ""),
+        let options = GatewayOptions {
+            process: &format!("memory_mb = {MEMORY_MB}"),
+            descriptors_max,
+            ..GatewayOptions::default()
         };
+        let log = platform.log.address;
+        let gateway = GatewayProcess::start_with(&platform.dir, log, &options);
         gateway.wait_ready().await;
         gateway.wait_logged("endpoint=p1").await;
         gateway.wait_logged("endpoint=h1").await;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod bad_input;
+mod body_account;
 mod claim_book;
 mod claims;
 mod command_line;
--- a/tests/util/gateway_harness.rs
+++ b/tests/util/gateway_harness.rs
@@ -22,6 +22,17 @@
 /// Maximum time for an expected condition to hold.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// How a gateway is started.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GatewayOptions<'a> {
+    /// Additional lines of its `[process]` section.
+    pub process: &'a str,
+    /// Additional lines of its `[gateway]` section.
+    pub gateway: &'a str,
+    /// Maximum number of open descriptors.
+    pub descriptors_max: Option<u32>,
+}
+
 /// A gateway process; killed on drop.
 pub struct GatewayProcess {
     child: Child,
@@ -46,32 +57,36 @@
 impl GatewayProcess {
     /// Starts a gateway with `extra` lines in its `[gateway]` section.
     pub fn start(dir: &TempDir, store: SocketAddr, extra: &str) -> GatewayProcess {
-        GatewayProcess::start_command(Command::new(PROGRAM), dir, store, extra)
-    }
-
-    /// Like [`GatewayProcess::start`], with at most `descriptors_max` open descriptors.
-    pub fn start_with_descriptors(
-        dir: &TempDir,
-        store: SocketAddr,
-        descriptors_max: u32,
-    ) -> GatewayProcess {
-        let command = command_with_descriptors(descriptors_max);
-        GatewayProcess::start_command(command, dir, store, "")
+        GatewayProcess::start_with(
+            dir,
+            store,
+            &GatewayOptions {
+                gateway: extra,
+                ..GatewayOptions::default()
+            },
+        )
     }
 
-    fn start_command(
-        mut command: Command,
+    /// Starts a gateway with `options`.
+    pub fn start_with(
         dir: &TempDir,
         store: SocketAddr,
-        extra: &str,
+        options: &GatewayOptions<'_>,
     ) -> GatewayProcess {
+        let GatewayOptions {
+            process, gateway, ..
+        } = options;
+        let mut command = match options.descriptors_max {
+            Some(max) => command_with_descriptors(max),
+            None => Command::new(PROGRAM),
+        };
         let file = tempfile::Builder::new().suffix(".ini").tempfile_in(dir);
         let (_, file) = file
             .expect("creates the settings file")
             .keep()
             .expect("keeps the settings file");
         let settings = format!(
-            "[process]\nroom = a\ninstance = g1\n[store]\naddress = {store}\ntimeout_ms = 300\npoll_wait_ms = 300\n[gateway]\nlisten = 127.0.0.1:0\nready_listen = 127.0.0.1:0\nmetrics_listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\n{extra}"
+            "[process]\nroom = a\ninstance = g1\n{process}\n[store]\naddress = {store}\ntimeout_ms = 300\npoll_wait_ms = 300\n[gateway]\nlisten = 127.0.0.1:0\nready_listen = 127.0.0.1:0\nmetrics_listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\n{gateway}"
         );
         std::fs::write(&file, settings).expect("writes the settings");
         let mut child = command
