Bound the connections of callers, and replace the one that was silent longest

Ordinary callers got no answer at a gateway at which clients held more connections than it had descriptors, for as long as these stayed: nothing could be accepted, and no endpoint, peer or log reached.

Cause: connections had no bound, and one in the middle of a body was kept whatever its caller did.

Change: `ingress::ConnectionTable`, pure, bounds them by the instance's memory and descriptors (new setting process.descriptors_max, filled in by the platform), with half of the descriptors left for everything else. A new connection replaces the one on which the gateway waited longest for its caller; one whose request has arrived as a whole is never closed for another. The receive buffers of accepted connections are limited to 64 KiB, as unread bytes count as memory (no test shows this part). Failed accepts and rejected connections are logged at most once a second.

Why it works: descriptors are left at any crowd, and a new caller is accepted at once.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -11,7 +11,7 @@
 use futures::Stream;
 use http_body::{Body, Frame, SizeHint};
 
-use crate::caller_server::ConnectionState;
+use crate::caller_connection::ConnectionState;
 
 /// Why an answer ends early. The caller sees its connection close before the
 /// end of the body.
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -1,7 +1,6 @@
 //! Serves callers' connections.
 
 use std::{
-    cell::Cell,
     convert::Infallible,
     io,
     pin::{Pin, pin},
@@ -10,18 +9,21 @@
     time::Duration,
 };
 
-use catalog::Limits;
-use clock::Millis;
 use http::Request;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use log::{info, warn};
+use telemetry::Occasional;
 use tokio::{
     io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
     net::{TcpListener, TcpStream},
 };
 
-use crate::{dispatch, state::Gateway};
+use crate::{
+    caller_connection::{Check, ConnectionState},
+    dispatch,
+    state::Gateway,
+};
 
 /// Interval of checks of a connection's idle and head timeouts, ms.
 const CHECK_INTERVAL_MS: u64 = 500;
@@ -29,10 +31,6 @@
 /// Delay after a connection could not be accepted, ms.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
-/// Time after the start of draining in which idle connections may still send a
-/// request, ms.
-const IDLE_DRAIN_MS: u64 = 1_500;
-
 /// Minimum duration of draining, ms.
 const DRAIN_MIN_MS: u64 = 3_500;
 
@@ -49,85 +47,6 @@
 const HEAD_TOO_SLOW: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// State of a caller's connection.
-#[derive(Debug)]
-pub(crate) struct ConnectionState {
-    pub gateway: Rc<Gateway>,
-    busy: Cell<bool>,
-    /// Whether the rest of a refused body is being discarded.
-    discarding: Cell<bool>,
-    head_since: Cell<Option<Millis>>,
-    idle_since: Cell<Millis>,
-}
-
-impl ConnectionState {
-    fn new(gateway: Rc<Gateway>) -> Self {
-        let idle_since = Cell::new(gateway.now());
-        let open = &gateway.stats.connections_open;
-        open.set(open.get() + 1);
-        ConnectionState {
-            gateway,
-            busy: Cell::default(),
-            discarding: Cell::default(),
-            head_since: Cell::default(),
-            idle_since,
-        }
-    }
-
-    /// Records that a request's head is complete; returns the time.
-    ///
-    /// The request's deadline counts from here and not from its first byte, since
-    /// a caller may send the beginning of a head long before the rest.
-    pub fn request_started(&self) -> Millis {
-        self.busy.set(true);
-        self.head_since.set(None);
-        let open = &self.gateway.stats.requests_open;
-        open.set(open.get() + 1);
-        self.gateway.now()
-    }
-
-    /// Records that an answer was sent or abandoned.
-    pub fn request_ended(&self) {
-        self.idle_since.set(self.gateway.now());
-        if self.busy.replace(false) {
-            let open = &self.gateway.stats.requests_open;
-            open.set(open.get() - 1);
-        }
-    }
-
-    /// Records that the rest of a refused body is discarded until the result is dropped.
-    pub fn start_discarding(self: &Rc<Self>) -> Discarding {
-        self.discarding.set(true);
-        Discarding(self.clone())
-    }
-
-    fn bytes_received(&self) {
-        let is_body = self.busy.get() || self.discarding.get();
-        if !is_body && self.head_since.get().is_none() {
-            self.head_since.set(Some(self.gateway.now()));
-        }
-    }
-}
-
-impl Drop for ConnectionState {
-    fn drop(&mut self) {
-        self.request_ended();
-        let open = &self.gateway.stats.connections_open;
-        open.set(open.get() - 1);
-    }
-}
-
-/// The discarding of a refused body's rest on a connection, until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Discarding(Rc<ConnectionState>);
-
-impl Drop for Discarding {
-    fn drop(&mut self) {
-        self.0.discarding.set(false);
-        self.0.idle_since.set(self.0.gateway.now());
-    }
-}
-
 /// A caller's socket that records when bytes arrive.
 struct CallerStream {
     stream: TcpStream,
@@ -190,23 +109,41 @@
 pub(crate) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     // Created once, outside the loop: the notification that it waits for comes once.
     let mut closed = pin!(accept_window_closed(&gateway));
+    let (failures, rejections) = (Occasional::default(), Occasional::default());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = &mut closed => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_one(gateway.clone(), stream));
-            }
+            Ok((stream, _)) => match gateway.caller_connections.admit() {
+                Some(place) => {
+                    let state = ConnectionState::new(gateway.clone(), place);
+                    tokio::task::spawn_local(serve_one(Rc::new(state), stream));
+                }
+                None => reject(&gateway, &rejections),
+            },
             Err(err) => {
-                warn!("event=accept_failed listener=callers reason=\"{err}\"");
+                if let Some(count) = failures.due(gateway.now()) {
+                    warn!(
+                        "event=accept_failed listener=callers count={count} reason=\"{err}\""
+                    );
+                }
                 tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
         }
     }
 }
 
+/// Records that a new connection was closed, since all others have requests in progress.
+fn reject(gateway: &Gateway, rejections: &Occasional) {
+    gateway.stats.count("refused", "no_connection_left");
+    if let Some(count) = rejections.due(gateway.now()) {
+        let open = gateway.caller_connections.open();
+        warn!("event=connection_rejected count={count} connections={open}");
+    }
+}
+
 async fn accept_window_closed(gateway: &Gateway) {
     gateway.drain_started.notified().await;
     let takes_connections =
@@ -217,51 +154,12 @@
     info!("event=accept_stopped");
 }
 
-/// What to do with a connection after a check.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Check {
-    Keep,
-    HeadTooSlow,
-    IdleTooLong,
-    Stop,
-}
-
-fn check(state: &ConnectionState, limits: &Limits) -> Check {
-    let now = state.gateway.now();
-    let draining_since = state.gateway.draining_since();
-    if state.busy.get() {
-        return if draining_since.is_some() {
-            Check::Stop
-        } else {
-            Check::Keep
-        };
-    }
-    if state.discarding.get() {
-        return Check::Keep;
-    }
-    if let Some(since) = state.head_since.get() {
-        let late = now.since(since) > limits.head_timeout_ms;
-        return if late {
-            Check::HeadTooSlow
-        } else {
-            Check::Keep
-        };
-    }
-    if draining_since.is_some_and(|since| now.since(since) > IDLE_DRAIN_MS) {
-        return Check::Stop;
-    }
-    if now.since(state.idle_since.get()) > limits.idle_timeout_ms {
-        return Check::IdleTooLong;
-    }
-    Check::Keep
-}
-
-async fn serve_one(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_one(state: Rc<ConnectionState>, stream: TcpStream) {
+    let gateway = state.gateway.clone();
     if let Err(err) = link::configure_socket(&stream) {
         warn!("event=caller_failed reason=\"{err}\"");
         return;
     }
-    let state = Rc::new(ConnectionState::new(gateway.clone()));
     let limits = gateway.limits();
     let answer = {
         let state = state.clone();
@@ -289,9 +187,13 @@
         tokio::select! {
             // A request that its caller abandoned has been logged already.
             _ = &mut connection => return,
+            () = state.evicted() => {
+                gateway.stats.count("refused", "connection_evicted");
+                return;
+            }
             () = pause => {}
         }
-        match check(&state, &gateway.limits()) {
+        match state.check(&gateway.limits()) {
             Check::Keep => {}
             Check::Stop => Pin::new(&mut connection).graceful_shutdown(),
             Check::IdleTooLong => return,
--- a/crates/gateway/src/discard.rs
+++ b/crates/gateway/src/discard.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::caller_server::ConnectionState;
+use crate::caller_connection::ConnectionState;
 
 /// Maximum time for which the rest of a body is read, ms.
 const DISCARD_MS: u64 = 1_000;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,8 +14,8 @@
     attempt::{Answer, ExtraHeaders, Failure, InFlight, KeepAlive, attempt, is_framed},
     body::ResponseBody,
     caller_body::CallerBody,
+    caller_connection::ConnectionState,
     caller_request::{CallerRequest, read_request, request_id, strip_connection},
-    caller_server::ConnectionState,
     discard::discard,
     placement::Escalation,
     refusal::{Refusal, refuse},
@@ -58,7 +58,10 @@
         Err(refusal) => Err(refusal),
     };
     match read {
-        Ok(req) => Dispatch::new(gateway, req, log).run().await,
+        Ok(req) => {
+            connection.request_received();
+            Dispatch::new(gateway, req, log).run().await
+        }
         Err(refusal) => refuse_caller(connection, &log, refusal, body),
     }
 }
--- a/crates/gateway/src/internal_server.rs
+++ b/crates/gateway/src/internal_server.rs
@@ -62,7 +62,9 @@
 }
 
 fn metrics(gateway: &Gateway) -> String {
+    let connections = gateway.caller_connections.open();
     gateway.stats.render(&[
+        ("connections_open", connections as u64),
         ("bodies_held_bytes", gateway.bodies.held_bytes()),
         ("bodies_bound_bytes", gateway.bodies.bound_bytes()),
     ])
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod body;
 mod caller_body;
+mod caller_connection;
 mod caller_request;
 mod caller_server;
 mod config_fetch;
@@ -40,6 +41,7 @@
 
 use std::{io, net::SocketAddr, path::PathBuf, rc::Rc};
 
+use ingress::RECEIVE_BUFFER_BYTES;
 use log::info;
 use settings::{Role, Settings};
 use tokio::{
@@ -81,8 +83,10 @@
         let gateway = &settings.gateway;
         let peers = TcpListener::bind(gateway.peer_listen).await?;
         let peer_address = peers.local_addr()?;
+        let callers = TcpListener::bind(gateway.listen).await?;
+        link::limit_receive_buffer(&callers, RECEIVE_BUFFER_BYTES)?;
         Ok(Listeners {
-            callers: TcpListener::bind(gateway.listen).await?,
+            callers,
             ready: TcpListener::bind(gateway.ready_listen).await?,
             metrics: TcpListener::bind(gateway.metrics_listen).await?,
             peer_datagrams: UdpSocket::bind(peer_address).await?,
@@ -144,7 +148,7 @@
     info!(
         "event=stopping requests={} connections={}",
         gateway.stats.requests_open.get(),
-        gateway.stats.connections_open.get()
+        gateway.caller_connections.open()
     );
     caller_server::wait_drained(&gateway).await;
     info!("event=stopped");
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use catalog::{Catalog, Limits};
 use clock::{Clock, Millis, SystemClock};
-use ingress::{Bodies, MemoryShares};
+use ingress::{Bodies, Connections, InstanceShares};
 use log::{info, warn};
 use platform::HeaderNames;
 use route::{
@@ -58,6 +58,8 @@
     /// Names of the platform's headers.
     pub names: HeaderNames,
     pub clock: SystemClock,
+    /// Open connections of callers.
+    pub caller_connections: Connections,
     /// Bodies of callers' requests.
     pub bodies: Bodies,
     /// Settings of the choice among a route's candidate models.
@@ -118,7 +120,8 @@
     pub fn new(settings: Settings, own: SocketAddr) -> Self {
         let clock = SystemClock::default();
         let incarnation_ms = clock.wall().0;
-        let memory = MemoryShares::new(settings.process.memory_mb);
+        let process = &settings.process;
+        let shares = InstanceShares::read(process.memory_mb, process.descriptors_max);
         let started = clock.now();
         let peers = Peers::new(own, &settings.process.peers);
         let routing = settings.routing;
@@ -149,7 +152,8 @@
             pacing: ReadPacing::new(wait_ms),
             status_pacing: ReadPacing::new(wait_ms * STATUS_WAIT_FACTOR),
             names: platform::header_names(),
-            bodies: Bodies::new(memory.bodies_bytes(), clock.clone()),
+            caller_connections: Connections::new(shares.connections(), clock.clone()),
+            bodies: Bodies::new(shares.bodies_bytes(), clock.clone()),
             clock,
             sizes,
             pool: RefCell::new(pool),
--- a/crates/gateway/src/stats.rs
+++ b/crates/gateway/src/stats.rs
@@ -35,7 +35,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct Stats {
     pub requests_open: Cell<u64>,
-    pub connections_open: Cell<u64>,
     /// Requests in progress by failure domain of their endpoints.
     domain_running: RefCell<BTreeMap<String, u64>>,
     counters: RefCell<BTreeMap<(&'static str, String), u64>>,
@@ -88,10 +87,7 @@
     /// Formats all metrics and the `gauges` of other parts, one value per line.
     pub fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
-        let own = [
-            ("requests_open", self.requests_open.get()),
-            ("connections_open", self.connections_open.get()),
-        ];
+        let own = [("requests_open", self.requests_open.get())];
         for (name, value) in own.iter().chain(gauges) {
             let _ = writeln!(text, "currantbank_{name} {value}");
         }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,9 +6,13 @@
 mod account;
 mod bodies;
 mod body;
-mod memory;
+mod connection_table;
+mod connections;
+mod shares;
 
 pub use account::{BodyAccount, BodyId, BodyStart, NoRoom};
 pub use bodies::{Bodies, HeldBody, ReadError};
 pub use body::{BodyError, read_body};
-pub use memory::MemoryShares;
+pub use connection_table::{Admission, ConnectionId, ConnectionTable};
+pub use connections::{Connection, Connections};
+pub use shares::{InstanceShares, RECEIVE_BUFFER_BYTES};
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -12,7 +12,10 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::AbortHandle,
+};
 
 /// Idle time after which TCP keepalive probes are sent, ms.
 ///
@@ -143,3 +146,13 @@
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(Duration::from_millis(USER_TIMEOUT_MS)))
 }
+
+/// Limits the receive buffers of the connections that `listener` accepts from now on; the
+/// kernel keeps up to about `bytes` of what the process has not read.
+///
+/// # Errors
+///
+/// Returns the error of the system call that sets the option.
+pub fn limit_receive_buffer(listener: &TcpListener, bytes: usize) -> io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(bytes)
+}
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -117,6 +117,13 @@
         number(0, 1_000_000),
         "Memory of this instance; 0 for what the machine reports. Bodies of requests may hold 30 percent of it together, and always one of the longest that is allowed.",
     ),
+    key(
+        "process",
+        "descriptors_max",
+        "0",
+        number(0, 10_000_000),
+        "Descriptors that the process may open; 0 for what the system allows it. Callers may have half of them open as connections, without 200 for files, and no more than 40 percent of the memory has room for.",
+    ),
     key(
         "process",
         "objective",
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -52,6 +52,8 @@
     pub drain_timeout_ms: u64,
     /// Memory of this instance, MB; 0 for what the machine reports.
     pub memory_mb: u64,
+    /// Descriptors that the process may open; 0 for what the system allows it.
+    pub descriptors_max: u64,
     /// What is minimized when requests are routed.
     pub objective: Objective,
     /// Processes to contact besides those that the platform lists.
@@ -385,6 +387,7 @@
         region: raw.text("process", "region").to_owned(),
         drain_timeout_ms: raw.number("process", "drain_timeout_ms"),
         memory_mb: raw.number("process", "memory_mb"),
+        descriptors_max: raw.number("process", "descriptors_max"),
         objective: match raw.text("process", "objective") {
             "latency" => Objective::Latency,
             _ => Objective::Exposure,
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -14,9 +14,11 @@
 mod event;
 mod logger;
 mod metrics;
+mod occasional;
 mod rate_limited;
 
 pub use event::Event;
 pub use logger::{LogError, Sink, init};
 pub use metrics::{METRICS, MetricDef, Metrics, MetricsError};
+pub use occasional::Occasional;
 pub use rate_limited::RateLimitedWriter;
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -73,3 +73,14 @@
     assert!(written.starts_with("event=a\nevent=log_lines_dropped count="));
     assert!(written.lines().all(|line| line.len() <= 4_096));
 }
+
+#[test]
+fn occasional_line_tells_how_often_its_event_occurred() {
+    let occasional = telemetry::Occasional::default();
+    let start = clock::Millis(5_000);
+    assert_eq!(occasional.due(start), Some(1));
+    assert_eq!(occasional.due(start.plus(10)), None);
+    assert_eq!(occasional.due(start.plus(999)), None);
+    assert_eq!(occasional.due(start.plus(1_000)), Some(3));
+    assert_eq!(occasional.due(start.plus(2_000)), Some(1));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -14,6 +14,7 @@
 mod claims;
 mod command_line;
 mod configuration;
+mod connection_table;
 mod crash_ledger;
 mod crashing_part;
 mod crashing_request;
