Bound what the bodies of all requests hold together at an entry

The same cause as at the gateway: an entry limited one body and its time, and nothing added them up; 48 clients with bodies of the longest length took 422,704 KiB (short of their end), 423,264 (in chunks) and 521,384 (whole) of the 250,000 KiB that a node may use.

Change: an entry reads bodies through the same `ingress::Bodies`, with a third of the share, since a request holds its body three times: as it arrived, as the text of its prompt, and in the message to an agent. What has no room gets 503 `body_no_room` with a time to return; the body's timeout ends with the request's deadline.

The entry of these tests gets memory_mb = 256, the bound; crowd and bounds are unchanged.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -3,9 +3,9 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use bill::Bill;
-use bytes::Bytes;
 use clock::{Clock, Millis};
 use config::{Config, TeamSpec};
+use ingress::HeldBody;
 use log::info;
 use route::{ModelSelector, Target, parse_model_selector};
 use serde::Deserialize;
@@ -41,7 +41,7 @@
     pub caller_request_id: String,
     pub team: TeamSpec,
     pub session: SessionState,
-    pub body: Bytes,
+    pub body: HeldBody,
     pub prompt: String,
     pub deadline: Millis,
     pub priority: u8,
@@ -142,7 +142,7 @@
     entry: &Arc<Entry>,
     context: RequestContext,
     chat: &ChatBody,
-    body: Bytes,
+    body: HeldBody,
 ) -> Result<mpsc::Receiver<ResponsePart>, RequestError> {
     let config = entry.config();
     let steps = resolve_steps(&config, &context.team.name, &chat.model)?;
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -19,6 +19,8 @@
     BodyTooLarge(usize),
     /// the request body is incomplete or timed out; send it again
     BodyIncomplete,
+    /// the bodies of other requests leave no room for this one; retry later
+    BodyNoRoom,
     /// {0}
     BadRequest(String),
     /// unknown path; see the guide for callers
@@ -108,6 +110,7 @@
             ErrorKind::Unauthorized => "unauthorized",
             ErrorKind::BodyTooLarge(_) => "body_too_large",
             ErrorKind::BodyIncomplete => "body_broken",
+            ErrorKind::BodyNoRoom => "body_no_room",
             ErrorKind::BadRequest(_) => "bad_request",
             ErrorKind::NotFound => "not_found",
             ErrorKind::Draining => "entry_leaving",
@@ -138,6 +141,7 @@
             ErrorKind::Refused { reason, .. } => refused_status(reason),
             ErrorKind::Draining
             | ErrorKind::NotReady
+            | ErrorKind::BodyNoRoom
             | ErrorKind::BillsFull
             | ErrorKind::NoRunner(_) => StatusCode::SERVICE_UNAVAILABLE,
             ErrorKind::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
@@ -152,9 +156,10 @@
         match &self.kind {
             ErrorKind::Admission(err) => Some(err.retry_after_ms()),
             ErrorKind::Draining => Some(0),
-            ErrorKind::NotReady | ErrorKind::BillsFull | ErrorKind::NoRunner(_) => {
-                Some(ENTRY_RETRY_AFTER_MS)
-            }
+            ErrorKind::NotReady
+            | ErrorKind::BodyNoRoom
+            | ErrorKind::BillsFull
+            | ErrorKind::NoRunner(_) => Some(ENTRY_RETRY_AFTER_MS),
             ErrorKind::Refused { retry_after_ms, .. } if *retry_after_ms > 0 => {
                 Some(*retry_after_ms)
             }
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -95,7 +95,7 @@
     let (parts, body) = request.into_parts();
     let context = read_context(entry, &parts.headers, request_id)?;
     let started = context.started;
-    let body = read_body(entry, body).await?;
+    let body = read_body(entry, body, context.deadline).await?;
     let chat = ChatBody::parse(&body)?;
     let mut receiver = chat::start(entry, context, &chat, body)?;
     let first = receiver.recv().await;
@@ -149,7 +149,7 @@
     let unknown =
         || ErrorKind::Selection(route::SelectionError::UnknownModel(name.to_owned()));
     let service = service.ok_or_else(unknown)?;
-    let body = read_body(entry, body).await?;
+    let body = read_body(entry, body, context.deadline).await?;
     let request = ServiceRequest {
         request_id: request_id.to_owned(),
         key: if key.is_empty() {
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -1,11 +1,9 @@
 //! Parses and validates request headers and bodies.
 
-use std::time::Duration;
-
 use ::http::{HeaderMap, header};
-use bytes::Bytes;
+use clock::Millis;
 use config::TeamSpec;
-use ingress::BodyError;
+use ingress::{BodyError, HeldBody, ReadError};
 use store::ConfigHealth;
 use volo_http::body::Body;
 
@@ -138,17 +136,24 @@
     })
 }
 
+/// Reads a body until its timeout or the request's deadline, whichever is first.
 pub(super) async fn read_body(
     entry: &Entry,
     mut body: Body,
-) -> Result<Bytes, RequestError> {
+    deadline: Millis,
+) -> Result<HeldBody, RequestError> {
     let settings = &entry.node.settings.entry;
     let max = settings.body_max_bytes;
-    let timeout = Duration::from_millis(settings.body_timeout_ms);
-    let reading = ingress::read_body(&mut body, max);
-    match tokio::time::timeout(timeout, reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLong)) => Err(ErrorKind::BodyTooLarge(max).into()),
-        Ok(Err(BodyError::Broken)) | Err(_) => Err(ErrorKind::BodyIncomplete.into()),
-    }
+    let timeout = entry.node.now().plus(settings.body_timeout_ms);
+    let read = entry.bodies.read(&mut body, max, deadline.min(timeout));
+    read.await.map_err(|err| {
+        let kind = match err {
+            ReadError::Body(BodyError::TooLong) => ErrorKind::BodyTooLarge(max),
+            ReadError::Body(BodyError::Broken) | ReadError::TooSlow => {
+                ErrorKind::BodyIncomplete
+            }
+            ReadError::NoRoom | ReadError::GaveWay => ErrorKind::BodyNoRoom,
+        };
+        kind.into()
+    })
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -8,6 +8,7 @@
 use claim::{ClaimEvent, ClaimStatus, Ending, KeyState, claim_id};
 use clock::{Clock, Millis};
 use config::{ServiceSpec, TeamSpec};
+use ingress::HeldBody;
 use log::info;
 use route::{RunnerOutcome, SelectionError, Target};
 use store::ConfigHealth;
@@ -36,7 +37,7 @@
     pub path: String,
     /// Idempotency key; the request id if the caller sent none.
     pub key: String,
-    pub body: Bytes,
+    pub body: HeldBody,
     pub deadline: Millis,
     pub started: Millis,
 }
@@ -265,7 +266,7 @@
         id: id.clone(),
         team: request.team.name.clone(),
         service: request.service.name.clone(),
-        body: request.body.clone(),
+        body: Bytes::clone(&request.body),
         path: request.path.clone(),
         idempotent: request.service.idempotent,
         key: request.key.clone(),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,6 +11,7 @@
 
 use clock::Millis;
 use config::{Config, TeamSpec};
+use ingress::{Bodies, InstanceShares};
 use node::{HeartbeatResult, Node};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{
@@ -25,6 +26,10 @@
 
 use crate::outcomes::Outcomes;
 
+/// How often an entry holds a body: as it arrived, as the text of its prompt, and in the
+/// message to an agent.
+const BODY_COPIES: u64 = 3;
+
 /// State shared by all requests of an entry.
 pub struct Entry {
     /// State and services common to entries and agents.
@@ -33,6 +38,8 @@
     pub(crate) pick_settings: PickSettings,
     pub(crate) cascade_policy: CascadePolicy,
     pub(crate) rater_client: Client,
+    /// Bodies of callers' requests.
+    pub(crate) bodies: Bodies,
     runners: Mutex<Runners>,
     admission: Mutex<Admission>,
     retry_budget: Mutex<RetryBudget>,
@@ -63,7 +70,11 @@
             silence_ms: settings.entry.silence_ms,
             entries: 1,
         };
+        let process = &settings.process;
+        let shares = InstanceShares::read(process.memory_mb, process.descriptors_max);
+        let bodies_bytes = shares.bodies_bytes() / BODY_COPIES;
         Entry {
+            bodies: Bodies::new(bodies_bytes, node.clock.clone()),
             ticket_keys: TicketKeys::new(&settings.secrets.ticket_keys),
             pick_settings,
             cascade_policy: CascadePolicy::from_setting(&settings.entry.cascade),
--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -11,8 +11,11 @@
     },
 };
 
-/// Memory that a node may use, KiB; see docs/CAPACITY.md, which states it as 256 MB.
-const NODE_MEMORY_MAX_KIB: u64 = 256_000_000 / 1_024;
+/// Memory that a node may use, MB; see docs/CAPACITY.md.
+const NODE_MEMORY_MB: u64 = 256;
+
+/// The same, KiB.
+const NODE_MEMORY_MAX_KIB: u64 = NODE_MEMORY_MB * 1_000_000 / 1_024;
 
 /// Largest body that the settings of these tests allow, bytes.
 const BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
@@ -37,6 +40,7 @@
     let cluster = &mut script.cluster;
     cluster.descriptors_max = descriptors_max;
     let settings = &mut cluster.common_settings;
+    settings.insert("process.memory_mb".into(), NODE_MEMORY_MB.to_string());
     settings.insert("entry.body_max_bytes".into(), BODY_MAX_BYTES.to_string());
     // So long that no body ends by it while the crowd is there.
     settings.insert("entry.body_timeout_ms".into(), "60000".into());
@@ -84,6 +88,24 @@
     assert!(cluster.engines["big"].state().started.len() <= 1);
 }
 
+/// Requests that have arrived hold their bodies until they are answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_whole_large_bodies_at_once() {
+    let _alone = ALONE.lock().await;
+    let cluster = start_cluster(None).await;
+    let engine = &cluster.engines["big"];
+    engine.update_config(|config| config.token_ms = 60_000);
+    let frame = r#"{"model":"draft","messages":[{"content":""}],"max_tokens":9}"#;
+    let content = "d".repeat(BODY_MAX_BYTES - frame.len());
+    let body = frame.replace(r#""content":"""#, &format!(r#""content":"{content}""#));
+    let callers = cluster.address("entry-1", "callers");
+    let head = sized_head(BODY_MAX_BYTES);
+    let _crowd =
+        Crowd::send(callers, LARGE_CROWD, |_| head.clone(), body.into_bytes()).await;
+    engine.update_config(|config| config.token_ms = 1);
+    assert_serves_within_bounds(&cluster).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_bears_large_bodies_that_stop_short() {
     let _alone = ALONE.lock().await;
