Bound the connections of callers at an entry

Ordinary callers got no answer from an entry at which clients held more connections than it had descriptors; it spun on failed accepts meanwhile.

Cause: the server of volo-http accepts without a bound, repeats a failed accept at once, and hides when a connection ends, so nothing could count them.

Change: the entry serves connections with hyper, in front of the same router, within `ingress::Connections`: a new connection replaces the one that was silent longest, one whose request has arrived is never closed for another. Signals, draining and the two seconds for idle connections are as they were.

Why it works: as at the gateway.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod attempt;
+mod caller_server;
 mod cascade;
 mod channel;
 mod chat;
@@ -23,13 +24,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use log::{error, info};
+use ingress::RECEIVE_BUFFER_BYTES;
+use log::info;
 use node::{Node, NodeKind};
 use settings::Settings;
 use telemetry::Event;
-use tokio::net::TcpListener;
-use volo::net::incoming::DefaultIncoming;
-use volo_http::server::Server;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
 
 pub use error::{ErrorKind, RequestError};
 pub use state::Entry;
@@ -60,8 +63,10 @@
     ///
     /// Returns the first error of binding an address.
     pub async fn bind(settings: &Settings) -> std::io::Result<Listeners> {
+        let callers = TcpListener::bind(settings.entry.listen).await?;
+        link::limit_receive_buffer(&callers, RECEIVE_BUFFER_BYTES)?;
         Ok(Listeners {
-            callers: TcpListener::bind(settings.entry.listen).await?,
+            callers,
             operators: TcpListener::bind(settings.entry.admin_listen).await?,
             peers: TcpListener::bind(settings.entry.peer_listen).await?,
         })
@@ -92,22 +97,28 @@
     tokio::spawn(rollout::run(entry.clone()));
     tokio::spawn(snapshot::run(entry.clone()));
     admin::spawn(entry.clone(), listeners.operators);
-    let draining_entry = entry.clone();
-    let mut server = Server::new(http::router(entry.clone()));
-    server
-        .http1_config()
-        .set_max_headers(entry.node.settings.entry.headers_max);
-    // The server closes open connections some time after a signal. The hook
-    // runs first and delays this until no request is in progress or the drain
-    // timeout has passed.
-    let server = server.register_shutdown_hook(move || Box::pin(drain(draining_entry)));
-    let incoming = DefaultIncoming::from(listeners.callers);
-    if let Err(err) = server.run(incoming).await {
-        error!("{}", Event::new("server_failed").with("why", err));
+    let router = http::router(entry.clone());
+    let drained = async {
+        shutdown_signal().await;
+        drain(&entry).await;
+    };
+    caller_server::run(&entry, router, listeners.callers, drained).await;
+}
+
+/// Completes when the process is told to stop.
+async fn shutdown_signal() {
+    let receive = |kind| signal(kind).expect("installing a signal handler failed");
+    let mut interrupt = receive(SignalKind::interrupt());
+    let mut hangup = receive(SignalKind::hangup());
+    let mut terminate = receive(SignalKind::terminate());
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = hangup.recv() => {}
+        _ = terminate.recv() => {}
     }
 }
 
-async fn drain(entry: Arc<Entry>) {
+async fn drain(entry: &Entry) {
     let node = &entry.node;
     node.start_draining();
     node.announce(node.hello()).await;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,7 +11,7 @@
 
 use clock::Millis;
 use config::{Config, TeamSpec};
-use ingress::{Bodies, InstanceShares};
+use ingress::{Bodies, Connections, InstanceShares};
 use node::{HeartbeatResult, Node};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{
@@ -38,6 +38,8 @@
     pub(crate) pick_settings: PickSettings,
     pub(crate) cascade_policy: CascadePolicy,
     pub(crate) rater_client: Client,
+    /// Open connections of callers.
+    pub(crate) connections: Connections,
     /// Bodies of callers' requests.
     pub(crate) bodies: Bodies,
     runners: Mutex<Runners>,
@@ -74,6 +76,7 @@
         let shares = InstanceShares::read(process.memory_mb, process.descriptors_max);
         let bodies_bytes = shares.bodies_bytes() / BODY_COPIES;
         Entry {
+            connections: Connections::new(shares.connections(), node.clock.clone()),
             bodies: Bodies::new(bodies_bytes, node.clock.clone()),
             ticket_keys: TicketKeys::new(&settings.secrets.ticket_keys),
             pick_settings,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -31,6 +31,16 @@
         unit: "count",
         doc: "Requests rejected before dispatch.",
     },
+    MetricDef {
+        name: "connection_evicted",
+        unit: "count",
+        doc: "Callers' connections that were silent and closed for a new one.",
+    },
+    MetricDef {
+        name: "connection_rejected",
+        unit: "count",
+        doc: "New connections of callers that were closed, since all others had a request in progress.",
+    },
     MetricDef {
         name: "answered",
         unit: "count",
