Bound the connections to a gateway's internal listeners

The same cause elsewhere: connections to the readiness check, the metrics and the peers' listener had no bound, and share the descriptors with callers; 500 of them left an ordinary caller without an answer.

Change: each of the three may have an eighth of the callers' number, and a new connection replaces the one that was silent longest. Heads are limited to 16 KiB (400 KB before). Failed accepts are logged at most once a second.

Why it works: the bounds of all listeners together leave descriptors for endpoints and the log. `connections_to_internal_listeners_leave_descriptors` is new, failed on the code before (no answer in 20 s) and holds now.

--- a/crates/gateway/src/internal_server.rs
+++ b/crates/gateway/src/internal_server.rs
@@ -7,7 +7,9 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use ingress::{Connection, Connections};
 use log::warn;
+use telemetry::Occasional;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{config_fetch, state::Gateway};
@@ -15,35 +17,54 @@
 /// Delay after a connection could not be accepted, ms.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
+/// Maximum size of the head of a request, bytes.
+const BUFFER_MAX_BYTES: usize = 16 * 1024;
+
 /// Serves `listener` for as long as the process runs.
 pub(crate) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    let open_max = gateway.shares.internal_connections();
+    let connections = Connections::new(open_max, gateway.clock.clone());
+    let failures = Occasional::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_one(gateway.clone(), stream));
+                // Nothing is in progress for long, so there is always one to replace.
+                if let Some(place) = connections.admit() {
+                    let serving = serve_one(gateway.clone(), stream, place);
+                    tokio::task::spawn_local(serving);
+                }
             }
             Err(err) => {
-                warn!("event=accept_failed listener=probe reason=\"{err}\"");
+                if let Some(count) = failures.due(gateway.now()) {
+                    warn!(
+                        "event=accept_failed listener=probe count={count} reason=\"{err}\""
+                    );
+                }
                 tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
         }
     }
 }
 
-async fn serve_one(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_one(gateway: Rc<Gateway>, stream: TcpStream, place: Connection) {
     if let Err(err) = link::configure_socket(&stream) {
         warn!("event=probe_failed reason=\"{err}\"");
         return;
     }
-    let answer = service_fn(move |request: Request<Incoming>| {
+    let answer = service_fn(|request: Request<Incoming>| {
+        place.heard();
         let response = answer(&gateway, request.uri().path());
         async move { Ok::<_, Infallible>(response) }
     });
-    // Ignored: a client whose connection fails sends its request again.
-    let _ = http1::Builder::new()
+    let connection = http1::Builder::new()
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), answer)
-        .await;
+        .max_buf_size(BUFFER_MAX_BYTES)
+        .serve_connection(TokioIo::new(stream), answer);
+    tokio::select! {
+        // Ignored: a client whose connection fails sends its request again.
+        _ = connection => {}
+        () = place.evicted() => gateway.stats.count("refused", "probe_evicted"),
+    }
 }
 
 fn answer(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -58,6 +58,8 @@
     /// Names of the platform's headers.
     pub names: HeaderNames,
     pub clock: SystemClock,
+    /// Memory and descriptors of the instance.
+    pub shares: InstanceShares,
     /// Open connections of callers.
     pub caller_connections: Connections,
     /// Bodies of callers' requests.
@@ -152,6 +154,7 @@
             pacing: ReadPacing::new(wait_ms),
             status_pacing: ReadPacing::new(wait_ms * STATUS_WAIT_FACTOR),
             names: platform::header_names(),
+            shares,
             caller_connections: Connections::new(shares.connections(), clock.clone()),
             bodies: Bodies::new(shares.bodies_bytes(), clock.clone()),
             clock,
--- a/crates/ingress/src/shares.rs
+++ b/crates/ingress/src/shares.rs
@@ -24,7 +24,10 @@
 /// Part of the other descriptors that callers leave for endpoints, the log and peers.
 const OUTGOING_PART: u64 = 2;
 
-/// Minimum number of callers' connections, however small the instance.
+/// Part of the number of callers' connections that each internal listener may have.
+const INTERNAL_PART: usize = 8;
+
+/// Minimum number of connections of a listener, however small the instance.
 const CONNECTIONS_MIN: u64 = 16;
 
 /// Memory that is assumed if the instance does not report it, bytes.
@@ -74,6 +77,12 @@
         let connections = by_memory.min(by_descriptors).max(CONNECTIONS_MIN);
         usize::try_from(connections).unwrap_or(usize::MAX)
     }
+
+    /// Returns the number of connections that each listener for readiness checks, metrics,
+    /// operators or peers may have open.
+    pub fn internal_connections(&self) -> usize {
+        (self.connections() / INTERNAL_PART).max(CONNECTIONS_MIN as usize)
+    }
 }
 
 fn reported_memory_bytes() -> u64 {
--- a/tests/clients/connections.rs
+++ b/tests/clients/connections.rs
@@ -20,6 +20,24 @@
     fixture.assert_descriptors_left();
 }
 
+/// The readiness check, the metrics and the configuration for peers share the descriptors
+/// with callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_to_internal_listeners_leave_descriptors() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start_with_few_descriptors().await;
+    let gateway = &fixture.gateway;
+    let mut crowds = Vec::new();
+    for listener in [gateway.ready, gateway.metrics, gateway.peer_address] {
+        let head = |_: &str| "GET / HTTP/1.1\r\nx-padding: ".into();
+        let padding = vec![b'x'; 2_000];
+        let crowd = Crowd::send(listener, CONNECTIONS_CROWD, head, padding).await;
+        crowds.push(crowd);
+        fixture.assert_serves_within_bounds().await;
+        fixture.assert_descriptors_left();
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_connections_leave_descriptors() {
     let _alone = ALONE.lock().await;
