Bound the connections of peers and operators at entry and agent

The same cause elsewhere: an agent kept 400 of 400 descriptors open for clients that connected to it and stayed, so it could not reach its endpoint; an entry did not answer beside such a crowd at its peers' listener, and its operators' listener ended for good with the first failed accept.

Change: `wire::serve_*` take `ingress::Connections`. A peer that was answered is never closed for a new one; a client that never spoke is, when the bound is reached.

Why it works: the bounds of all listeners together leave descriptors.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -14,6 +14,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
+use ingress::{Connections, InstanceShares};
 use log::{info, warn};
 use node::{HeartbeatResult, Node, NodeKind};
 use settings::Settings;
@@ -51,7 +52,11 @@
         .with("room", &node.settings.process.failure_domain);
     info!("{start}");
     node.run(|_result: HeartbeatResult| {});
-    tokio::task::spawn_local(wire::serve_agent(listener, agent.clone()));
+    let process = &node.settings.process;
+    let shares = InstanceShares::read(process.memory_mb, process.descriptors_max);
+    let connections = Connections::new(shares.connections(), node.clock.clone());
+    let serving = wire::serve_agent(listener, agent.clone(), connections);
+    tokio::task::spawn_local(serving);
     tokio::task::spawn_local(engine::poll_load(agent.clone()));
     tokio::task::spawn_local(orders::reconcile_placement(agent.clone()));
     tokio::task::spawn_local(run_maintenance(agent.clone()));
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -11,7 +11,9 @@
 
 use bill::{Bill, BillBuffer, BillRecord, LineItem};
 use claim::{Claim, ClaimRecord, Claims};
+use clock::SystemClock;
 use config::{Change, ChangeRecord, Config, ModelSpec, TeamSpec, VersionSpec};
+use ingress::Connections;
 use route::{Locality, PickSettings, Report, Runners, Target};
 use store::{Instance, InstanceState, Role};
 use tokio::{net::TcpListener, task::LocalSet};
@@ -146,6 +148,7 @@
                     tokio::task::spawn_local(wire::serve_peer(
                         listener,
                         Rc::new(StubPeer),
+                        Connections::new(usize::MAX, SystemClock::default()),
                     ));
                 }
                 std::future::pending::<()>().await;
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -9,6 +9,7 @@
 };
 use clock::Clock;
 use config::{AuditFilter, ChangeRecord, Config, Object, Verdict};
+use ingress::Connections;
 use log::{error, info};
 use serde::Serialize;
 use sha2::{Digest, Sha256};
@@ -16,13 +17,12 @@
 use subtle::ConstantTimeEq;
 use telemetry::Event;
 use tokio::net::TcpListener;
-use volo::net::incoming::DefaultIncoming;
 use volo_grpc::{
     Request, Response, Status,
     server::{Server, ServiceBuilder},
 };
 
-use crate::Entry;
+use crate::{Entry, operator_listener::OperatorListener};
 
 /// Maximum time to wait until a change is read back from the log, ms.
 const READ_BACK_TIMEOUT_MS: u64 = 10_000;
@@ -37,11 +37,13 @@
 
 /// Serves operators until the process exits.
 pub(crate) fn spawn(entry: Arc<Entry>, listener: TcpListener) {
+    let open_max = entry.shares.internal_connections();
+    let connections = Connections::new(open_max, entry.node.clock.clone());
+    let incoming = OperatorListener::new(listener, connections);
     let service = ServiceBuilder::new(AdminServer::new(AdminService(entry))).build();
     let server = Server::new().add_service(service);
     tokio::spawn(async move {
         let shutdown = std::future::pending::<std::io::Result<()>>();
-        let incoming = DefaultIncoming::from(listener);
         if let Err(err) = server.run_with_shutdown(incoming, shutdown).await {
             error!("{}", Event::new("admin_failed").with("why", err));
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod chat;
 mod error;
 mod http;
+mod operator_listener;
 mod outcomes;
 mod peer;
 mod pick;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, sync::Arc, thread};
 
+use ingress::Connections;
 use tokio::{net::TcpListener, task::LocalSet};
 use wire::{Hello, PeerHandler};
 
@@ -48,7 +49,9 @@
         let serving = async move {
             let listener = TcpListener::from_std(listener)
                 .expect("failed to register the RPC listener with its runtime");
-            wire::serve_peer(listener, Rc::new(Handler(entry))).await;
+            let open_max = entry.shares.peer_connections();
+            let connections = Connections::new(open_max, entry.node.clock.clone());
+            wire::serve_peer(listener, Rc::new(Handler(entry)), connections).await;
         };
         LocalSet::new().block_on(&runtime, serving);
     };
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -38,6 +38,8 @@
     pub(crate) pick_settings: PickSettings,
     pub(crate) cascade_policy: CascadePolicy,
     pub(crate) rater_client: Client,
+    /// Memory and descriptors of the instance.
+    pub(crate) shares: InstanceShares,
     /// Open connections of callers.
     pub(crate) connections: Connections,
     /// Bodies of callers' requests.
@@ -76,6 +78,7 @@
         let shares = InstanceShares::read(process.memory_mb, process.descriptors_max);
         let bodies_bytes = shares.bodies_bytes() / BODY_COPIES;
         Entry {
+            shares,
             connections: Connections::new(shares.connections(), node.clock.clone()),
             bodies: Bodies::new(bodies_bytes, node.clock.clone()),
             ticket_keys: TicketKeys::new(&settings.secrets.ticket_keys),
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use clock::{Clock, SystemClock};
+use clock::{Clock, Millis, SystemClock};
 use tokio::sync::Notify;
 
 use crate::{Admission, ConnectionId, ConnectionTable};
@@ -42,6 +42,11 @@
         self.lock().table.open()
     }
 
+    /// Returns the current time of the clock that the connections go by.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
     /// Adds a connection that was accepted; `None` if it has to be closed. Another one
     /// may have to be closed for it; see [`ConnectionTable`].
     pub fn admit(&self) -> Option<Connection> {
--- a/crates/ingress/src/shares.rs
+++ b/crates/ingress/src/shares.rs
@@ -24,6 +24,9 @@
 /// Part of the other descriptors that callers leave for endpoints, the log and peers.
 const OUTGOING_PART: u64 = 2;
 
+/// Part of the number of callers' connections that an entry's peers may have.
+const PEER_PART: usize = 2;
+
 /// Part of the number of callers' connections that each internal listener may have.
 const INTERNAL_PART: usize = 8;
 
@@ -78,6 +81,12 @@
         usize::try_from(connections).unwrap_or(usize::MAX)
     }
 
+    /// Returns the number of connections of peers that an entry may have open besides its
+    /// callers'.
+    pub fn peer_connections(&self) -> usize {
+        (self.connections() / PEER_PART).max(CONNECTIONS_MIN as usize)
+    }
+
     /// Returns the number of connections that each listener for readiness checks, metrics,
     /// operators or peers may have open.
     pub fn internal_connections(&self) -> usize {
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -1,18 +1,24 @@
 //! Server side of the RPC.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use capnp::Error;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::AsyncReadExt;
-use log::debug;
+use ingress::{Connection, Connections};
+use log::{debug, warn};
+use telemetry::Occasional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::{
-    AttemptId, AttemptState, Dispatch, Frame, Hello, Verdict, convert, wire_capnp,
+    AttemptId, AttemptState, Dispatch, Frame, Hello, Verdict, convert,
+    peer_stream::PeerStream, wire_capnp,
 };
 
+/// Delay after a connection could not be accepted, ms.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
 /// Calls that every process handles.
 #[allow(async_fn_in_trait)]
 pub trait PeerHandler {
@@ -187,44 +193,83 @@
     }
 }
 
-/// Serves an agent's calls on `listener`.  Must run within a `LocalSet`.
-pub async fn serve_agent<H>(listener: TcpListener, handler: Rc<H>)
-where
+/// Serves an agent's calls on `listener`, within `connections`.  Must run within a
+/// `LocalSet`.
+pub async fn serve_agent<H>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    connections: Connections,
+) where
     H: AgentHandler + 'static,
 {
     let client: wire_capnp::agent::Client = capnp_rpc::new_client(Server(handler));
-    accept(listener, client.client).await;
+    accept(listener, client.client, connections).await;
 }
 
-/// Serves the calls of any process on `listener`.  Must run within a `LocalSet`.
-pub async fn serve_peer<H>(listener: TcpListener, handler: Rc<H>)
-where
+/// Serves the calls of any process on `listener`, within `connections`.  Must run within a
+/// `LocalSet`.
+pub async fn serve_peer<H>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    connections: Connections,
+) where
     H: PeerHandler + 'static,
 {
     let client: wire_capnp::peer::Client = capnp_rpc::new_client(Server(handler));
-    accept(listener, client.client).await;
+    accept(listener, client.client, connections).await;
 }
 
-async fn accept(listener: TcpListener, bootstrap: capnp::capability::Client) {
+async fn accept(
+    listener: TcpListener,
+    bootstrap: capnp::capability::Client,
+    connections: Connections,
+) {
+    let (failures, rejections) = (Occasional::default(), Occasional::default());
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_stream(stream, bootstrap.clone()));
-            }
+            Ok((stream, _)) => match connections.admit() {
+                Some(place) => {
+                    let serving = serve_stream(stream, place, bootstrap.clone());
+                    tokio::task::spawn_local(serving);
+                }
+                None => {
+                    if let Some(count) = rejections.due(connections.now()) {
+                        let open = connections.open();
+                        warn!(
+                            "event=connection_rejected listener=peers count={count} connections={open}"
+                        );
+                    }
+                }
+            },
             Err(err) => {
-                debug!("event=accept_failed why={:?}", err.kind());
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                if let Some(count) = failures.due(connections.now()) {
+                    warn!(
+                        "event=accept_failed listener=peers count={count} reason=\"{err}\""
+                    );
+                }
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
         }
     }
 }
 
-async fn serve_stream(stream: TcpStream, bootstrap: capnp::capability::Client) {
+async fn serve_stream(
+    stream: TcpStream,
+    place: Connection,
+    bootstrap: capnp::capability::Client,
+) {
     let _ = stream.set_nodelay(true);
+    let place = Rc::new(place);
+    let stream = PeerStream::new(stream, place.clone());
     let (reader, writer) = stream.compat().split();
     let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
     let system = RpcSystem::new(Box::new(network), Some(bootstrap));
-    if let Err(err) = system.await {
-        debug!("event=connection_ended why={:?}", err.kind);
+    tokio::select! {
+        ended = system => {
+            if let Err(err) = ended {
+                debug!("event=connection_ended why={:?}", err.kind);
+            }
+        }
+        () = place.evicted() => debug!("event=connection_ended why=evicted"),
     }
 }
--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -136,15 +136,43 @@
     assert_crowd_is_borne(LARGE_CROWD, sized_head(len), vec![b'd'; len]).await;
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn entry_bears_more_connections_than_it_has_descriptors() {
-    let _alone = ALONE.lock().await;
+/// Checks the number of open descriptors of a daemon, of which some are reserved for files.
+fn assert_descriptors_left(cluster: &Cluster, daemon: &str) {
+    let open = descriptors(cluster.daemons[daemon].pid());
+    let max = DESCRIPTORS_MAX as usize - DESCRIPTORS_RESERVED;
+    assert!(open < max, "{daemon}: {open} descriptors are open");
+}
+
+/// Opens more connections than there are descriptors for; each sends `head`.
+async fn assert_connections_are_borne(daemon: &str, listener: &str, head: &str) {
     let cluster = start_cluster(Some(DESCRIPTORS_MAX)).await;
-    let callers = cluster.address("entry-1", "callers");
+    let address = cluster.address(daemon, listener);
     let _crowd =
-        Crowd::send(callers, CONNECTIONS_CROWD, |_| "POST".into(), Vec::new()).await;
+        Crowd::send(address, CONNECTIONS_CROWD, |_| head.into(), Vec::new()).await;
     assert_serves_within_bounds(&cluster).await;
-    let open = descriptors(cluster.daemons["entry-1"].pid());
-    let max = DESCRIPTORS_MAX as usize - DESCRIPTORS_RESERVED;
-    assert!(open < max, "{open} descriptors are open");
+    assert_descriptors_left(&cluster, daemon);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_more_connections_than_it_has_descriptors() {
+    let _alone = ALONE.lock().await;
+    assert_connections_are_borne("entry-1", "callers", "POST").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_connections_to_its_peer_listener() {
+    let _alone = ALONE.lock().await;
+    assert_connections_are_borne("entry-1", "peers", "POST").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_connections_to_its_operators_listener() {
+    let _alone = ALONE.lock().await;
+    assert_connections_are_borne("entry-1", "operators", "").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agent_bears_connections_to_its_peer_listener() {
+    let _alone = ALONE.lock().await;
+    assert_connections_are_borne("agent-1", "peers", "POST").await;
 }
