Read operators' messages within the account of bodies

Change: a layer in front of the operators' service reads each message through `ingress::Bodies`, up to 1 MiB, before it is decoded; headers are limited to 16 KiB and a connection to 32 calls at once. The client is told what to do (`invalid_argument`, or `unavailable` if there is no room).

Why it works: nothing is buffered without a place in the account.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -22,7 +22,9 @@
     server::{Server, ServiceBuilder},
 };
 
-use crate::{Entry, operator_listener::OperatorListener};
+use crate::{
+    Entry, bounded_message::BoundedMessages, operator_listener::OperatorListener,
+};
 
 /// Maximum time to wait until a change is read back from the log, ms.
 const READ_BACK_TIMEOUT_MS: u64 = 10_000;
@@ -30,6 +32,12 @@
 /// Maximum interval at which a pending change is polled, ms.
 const READ_BACK_POLL_INTERVAL_MS: u64 = 50;
 
+/// Maximum number of calls in progress on one connection.
+const CALLS_MAX: u32 = 32;
+
+/// Maximum length of the headers of a call, bytes.
+const HEADERS_MAX_BYTES: u32 = 16 * 1024;
+
 /// Maximum length of a change id, bytes.
 const CHANGE_ID_MAX_BYTES: usize = 128;
 
@@ -40,8 +48,13 @@
     let open_max = entry.shares.internal_connections();
     let connections = Connections::new(open_max, entry.node.clock.clone());
     let incoming = OperatorListener::new(listener, connections);
+    let messages = BoundedMessages(entry.clone());
     let service = ServiceBuilder::new(AdminServer::new(AdminService(entry))).build();
-    let server = Server::new().add_service(service);
+    let server = Server::new()
+        .http2_max_concurrent_streams(CALLS_MAX)
+        .http2_max_header_list_size(HEADERS_MAX_BYTES)
+        .layer_tower(messages)
+        .add_service(service);
     tokio::spawn(async move {
         let shutdown = std::future::pending::<std::io::Result<()>>();
         if let Err(err) = server.run_with_shutdown(incoming, shutdown).await {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod attempt;
+mod bounded_message;
 mod caller_server;
 mod cascade;
 mod channel;
--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -1,5 +1,8 @@
 //! The same crowds at the entry.
 
+use admin::{ApplyRequest, OperatorClient};
+use tokio::task::JoinSet;
+
 use crate::{
     ALONE, DESCRIPTORS_MAX, DESCRIPTORS_RESERVED,
     util::{
@@ -176,3 +179,28 @@
     let _alone = ALONE.lock().await;
     assert_connections_are_borne("agent-1", "peers", "POST").await;
 }
+
+/// The operators' interface is on the same process; a message must be bounded before its
+/// token is looked at.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_bears_large_messages_of_operators() {
+    let _alone = ALONE.lock().await;
+    let cluster = start_cluster(None).await;
+    let operators = cluster.address("entry-1", "operators");
+    let mut sending = JoinSet::new();
+    for _ in 0..LARGE_CROWD {
+        sending.spawn(async move {
+            let client = OperatorClient::new(operators, "unknown", 20_000);
+            let message = ApplyRequest {
+                change_id: "x".repeat(BODY_MAX_BYTES).into(),
+                ..ApplyRequest::default()
+            };
+            client.apply(message).await
+        });
+    }
+    while let Some(sent) = sending.join_next().await {
+        let refused = sent.expect("the client ends");
+        assert!(refused.is_err(), "{refused:?}");
+    }
+    assert_serves_within_bounds(&cluster).await;
+}
