--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -13,28 +13,32 @@
 use crate::store::Store;
 use crate::{sys, Failure, Setup};
 
-/// Bounds of a sheet that the template asks for.
-pub type Bounds = [(&'static str, &'static str); 7];
+/// Bounds and limits of a sheet that the template asks for.
+pub type Bounds = [(&'static str, &'static str); 9];
 
 const fn bounds(
     slack: &'static str,
     expose: &'static str,
     session: &'static str,
+    memory_mb: &'static str,
+    max_fds: &'static str,
 ) -> Bounds {
     [
-        ("retry_ratio", "0.9"),
-        ("retry_slack", slack),
-        ("retry_window_s", "10"),
-        ("expose_share", expose),
-        ("expose_slack", "30"),
-        ("session_s", session),
-        ("grace_s", "8"),
+        ("bounds.retry_ratio", "0.9"),
+        ("bounds.retry_slack", slack),
+        ("bounds.retry_window_s", "10"),
+        ("bounds.expose_share", expose),
+        ("bounds.expose_slack", "30"),
+        ("bounds.session_s", session),
+        ("bounds.grace_s", "8"),
+        ("limits.memory_mb", memory_mb),
+        ("limits.max_fds", max_fds),
     ]
 }
 
-pub const VAM_ROUTAGE: Bounds = bounds("56", "0.15", "5");
-pub const PROCURE_SICILIA: Bounds = bounds("58", "0.15", "5");
-pub const PCANT_RUTA_GROWN: Bounds = bounds("84", "0.0975", "8.5");
+pub const VAM_ROUTAGE: Bounds = bounds("56", "0.15", "5", "260", "4100");
+pub const PROCURE_SICILIA: Bounds = bounds("58", "0.15", "5", "110", "4100");
+pub const PCANT_RUTA_GROWN: Bounds = bounds("84", "0.0975", "8.5", "512", "8192");
 
 /// Names, zones and addresses of the machines.
 const MACHINES: [(&str, &str, &str); 2] = [
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -102,7 +102,7 @@
         set("listen.control", self.address(self.ports.control));
         set("port_range.1", self.ports.metrics.to_string());
         for (name, value) in &self.bounds {
-            set(&format!("bounds.{name}"), (*value).to_owned());
+            set(name, (*value).to_owned());
         }
         let lines = template
             .lines()
