Discard the rest of a refused body at an entry too

Clients that an entry refused while they were still sending saw a broken pipe instead of the reason, as at the gateway before.

Change: what is not read of a request's body is discarded for up to a second, by the same function, now in `ingress`. Further tests of bodies at a gateway hold without a change: a stop beside bodies without a near deadline, limits that change while bodies are under way, a slow body in calm.

`refusal_of_an_entry_reaches_a_client_that_is_still_sending` failed before (the body could not be sent) and holds now.

--- a/crates/entry/src/caller_server.rs
+++ b/crates/entry/src/caller_server.rs
@@ -158,8 +158,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let mut context = ServerContext::new(Address::from(peer));
+    let max_bytes = server.entry.node.settings.entry.body_max_bytes;
     let request = request.map(|body| {
-        let body = RequestBody::new(body, place.clone());
+        let body = RequestBody::new(body, place.clone(), max_bytes);
         volo_http::body::Body::from_body(body)
     });
     let response = server.router.call(&mut context, request).await?;
@@ -167,17 +168,39 @@
 }
 
 /// The body of a request, which tells the connection's place what has arrived.
+///
+/// What is not read of it is discarded, so that its client can read the answer.
 struct RequestBody {
-    body: Incoming,
+    /// `None` once it has ended.
+    body: Option<Incoming>,
     place: Arc<Connection>,
+    max_bytes: usize,
 }
 
 impl RequestBody {
-    fn new(body: Incoming, place: Arc<Connection>) -> Self {
+    fn new(body: Incoming, place: Arc<Connection>, max_bytes: usize) -> Self {
+        let mut body = RequestBody {
+            body: Some(body),
+            place,
+            max_bytes,
+        };
         if body.is_end_stream() {
-            place.request_received();
+            body.ended();
+        }
+        body
+    }
+
+    fn ended(&mut self) {
+        self.body = None;
+        self.place.request_received();
+    }
+}
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        if let Some(rest) = self.body.take() {
+            tokio::spawn(ingress::discard(rest, self.max_bytes));
         }
-        RequestBody { body, place }
     }
 }
 
@@ -189,21 +212,26 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        let Some(body) = &mut self.body else {
+            return Poll::Ready(None);
+        };
+        let frame = Pin::new(body).poll_frame(cx);
         match &frame {
-            Poll::Ready(Some(_)) => self.place.heard(),
-            Poll::Ready(None) => self.place.request_received(),
+            Poll::Ready(Some(Ok(_))) => self.place.heard(),
+            Poll::Ready(Some(Err(_))) => self.body = None,
+            Poll::Ready(None) => self.ended(),
             Poll::Pending => {}
         }
         frame
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let body = self.body.as_ref();
+        body.map_or(SizeHint::with_exact(0), Body::size_hint)
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,7 +16,6 @@
     caller_body::CallerBody,
     caller_connection::ConnectionState,
     caller_request::{CallerRequest, read_request, request_id, strip_connection},
-    discard::discard,
     placement::Escalation,
     refusal::{Refusal, refuse},
     relay::Relay,
@@ -81,7 +80,11 @@
             response.headers_mut().insert(header::CONNECTION, close);
         }
         let max_bytes = connection.gateway.limits().body_max_bytes;
-        discard(connection, body.into_rest(), max_bytes);
+        let discarding = connection.start_discarding();
+        tokio::task::spawn_local(async move {
+            ingress::discard(body.into_rest(), max_bytes).await;
+            drop(discarding);
+        });
     }
     response
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,6 @@
 mod config_fetch;
 mod cut;
 mod datagram;
-mod discard;
 mod dispatch;
 mod endpoint_state;
 mod evacuation;
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod connection_table;
 mod connections;
+mod discard;
 mod shares;
 
 pub use account::{BodyAccount, BodyId, BodyStart, NoRoom};
@@ -15,4 +16,5 @@
 pub use body::{BodyError, read_body};
 pub use connection_table::{Admission, ConnectionId, ConnectionTable};
 pub use connections::{Connection, Connections};
+pub use discard::discard;
 pub use shares::{InstanceShares, RECEIVE_BUFFER_BYTES};
--- a/tests/clients/bodies.rs
+++ b/tests/clients/bodies.rs
@@ -14,7 +14,7 @@
     gateway::{BODY_MAX_BYTES, Fixture, chunked_head, sized_head},
     util::{
         crowd::{Crowd, chunks},
-        gateway_harness::{Reply, send_bytes},
+        gateway_harness::{Reply, read_reply, send_bytes},
     },
 };
 
@@ -30,6 +30,9 @@
 /// Size of a large chunk, bytes.
 const LARGE_CHUNK_BYTES: usize = 64 * 1024;
 
+/// Pause of a slow client between the pieces of its body.
+const SLOW_PAUSE: Duration = Duration::from_millis(1_200);
+
 /// How often a client comes back that is told to.
 const RETURNS_MAX: u32 = 20;
 
@@ -198,6 +201,62 @@
     assert!(fixture.gateway.wait_exit().await);
 }
 
+/// The time that a body may take ends before the process is killed, whatever its route
+/// allows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gateway_that_is_stopped_ends_beside_bodies_without_a_near_deadline() {
+    let _alone = ALONE.lock().await;
+    let mut fixture = Fixture::start().await;
+    let head = |id: &str| sized_head("/slow/", id, 1_000);
+    let mut crowd =
+        Crowd::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
+    fixture.gateway.signal(Signal::TERM);
+    for client in &mut crowd.clients {
+        let reply = client.reply().await;
+        assert_eq!(reply.status, 503, "{reply:?}");
+    }
+    assert!(fixture.gateway.wait_exit().await);
+}
+
+/// Bodies that are under way are read by the limit of their start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limits_may_change_while_bodies_are_under_way() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let head = |id: &str| chunked_head("/slow/", id);
+    let half = chunks(BODY_MAX_BYTES / 2, LARGE_CHUNK_BYTES);
+    let callers = fixture.gateway.callers;
+    let _first = Crowd::send(callers, LARGE_CROWD, head, half.clone()).await;
+    fixture.change_body_max(3, BODY_MAX_BYTES / 4).await;
+    let _second = Crowd::send(callers, LARGE_CROWD, head, half.clone()).await;
+    fixture.assert_serves_within_bounds().await;
+    fixture.change_body_max(4, BODY_MAX_BYTES * 2).await;
+    let _third = Crowd::send(callers, LARGE_CROWD, head, half).await;
+    fixture.assert_serves_within_bounds().await;
+}
+
+/// A client that pauses inside its time is served in calm.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_body_is_served_in_calm() {
+    let _alone = ALONE.lock().await;
+    let fixture = Fixture::start().await;
+    let payload = vec![b'd'; BODY_MAX_BYTES];
+    let mut stream = TcpStream::connect(fixture.gateway.callers)
+        .await
+        .expect("the gateway accepts");
+    let head = sized_head("/patient/", "s1", BODY_MAX_BYTES);
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("the head is sent");
+    for piece in payload.chunks(BODY_MAX_BYTES / 3) {
+        tokio::time::sleep(SLOW_PAUSE).await;
+        stream.write_all(piece).await.expect("a piece is sent");
+    }
+    let reply = read_reply(&mut stream).await;
+    assert_served(&fixture.plain, &reply, &payload).await;
+}
+
 async fn assert_served(endpoint: &ScriptedEndpoint, sent: &Reply, payload: &[u8]) {
     assert_eq!(sent.status, 200, "{sent:?}");
     let received = endpoint.received();
--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -1,14 +1,14 @@
 //! The same crowds at the entry.
 
 use admin::{ApplyRequest, OperatorClient};
-use tokio::task::JoinSet;
+use tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinSet};
 
 use crate::{
     ALONE, DESCRIPTORS_MAX, DESCRIPTORS_RESERVED,
     util::{
         cluster::Cluster,
         crowd::{Crowd, chunks},
-        gateway_harness::send,
+        gateway_harness::{read_reply, send},
         process_stats::{descriptors, memory_peak_kib, unread_kib},
         script::Script,
     },
@@ -116,6 +116,27 @@
     assert_crowd_is_borne(LARGE_CROWD, sized_head(BODY_MAX_BYTES), body).await;
 }
 
+/// A connection that is closed with bytes unread is reset, and its client may not get to
+/// read why.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_of_an_entry_reaches_a_client_that_is_still_sending() {
+    let _alone = ALONE.lock().await;
+    let cluster = start_cluster(None).await;
+    let callers = cluster.address("entry-1", "callers");
+    let mut stream = TcpStream::connect(callers)
+        .await
+        .expect("the entry accepts");
+    let head = sized_head(BODY_MAX_BYTES).replace("members-token", "unknown");
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("the head is sent");
+    let body = vec![b'd'; BODY_MAX_BYTES];
+    stream.write_all(&body).await.expect("the body is sent");
+    let reply = read_reply(&mut stream).await;
+    assert_eq!(reply.status, 401, "{reply:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_bears_large_chunks_that_stop_short() {
     let _alone = ALONE.lock().await;
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -22,9 +22,10 @@
 /// Statuses that promise that the request has not run and will not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
-/// Routes to an endpoint that runs every request and never answers; bodies under `/slow/`
-/// may take longer than any test.
-const HELD_ROUTES: &str = r#",
+/// Further routes: to an endpoint that runs every request and never answers, and two on
+/// which bodies may take longer than any test.
+const ROUTES: &str = r#",
+{"name":"patient","host":"h.example","path_prefix":"/patient/","kind":"unsafe","timeout_ms":600000,"slo_ms":100,"priority":2,"service":"plain","max_attempts":1,"public":false},
 {"name":"slow","host":"h.example","path_prefix":"/slow/","kind":"unsafe","timeout_ms":600000,"slo_ms":100,"priority":2,"service":"held","max_attempts":1,"public":false},
 {"name":"held","host":"h.example","path_prefix":"/held/","kind":"unsafe","timeout_ms":2000,"slo_ms":100,"priority":2,"service":"held","max_attempts":1,"public":false}"#;
 
@@ -35,7 +36,7 @@
     pub held: ScriptedEndpoint,
     /// Answers the requests under `/once/` and `/safe/`.
     pub plain: ScriptedEndpoint,
-    _platform: TestPlatform,
+    platform: TestPlatform,
 }
 
 impl Fixture {
@@ -50,16 +51,7 @@
 
     async fn start_with(descriptors_max: Option<u32>) -> Fixture {
         let platform = TestPlatform::start().await;
-        let limit = format!("\"max_body_bytes\":{BODY_MAX_BYTES}");
-        let configuration = configuration_with(2, HELD_ROUTES)
-            .replace("\"max_body_bytes\":1000", &limit)
-            .replace("\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":60000")
-            .replace("\"header_timeout_ms\":3000", "\"header_timeout_ms\":60000")
-            .replace(
-                r#"{"name":"plain","#,
-                r#"{"name":"held","health_path":"/h","max_conns":100},{"name":"plain","#,
-            );
-        platform.log.put("keyed.op", "config", &configuration);
+        put_configuration(&platform, 2, BODY_MAX_BYTES);
         let held = ScriptedEndpoint::start(Action::Hang).await;
         let plain = ScriptedEndpoint::start(Action::Answer).await;
         platform.announce("p1", "plain", &plain);
@@ -78,10 +70,17 @@
             gateway,
             held,
             plain,
-            _platform: platform,
+            platform,
         }
     }
 
+    /// Puts another limit of bodies in force.
+    pub async fn change_body_max(&self, version: u64, body_max_bytes: usize) {
+        put_configuration(&self.platform, version, body_max_bytes);
+        let in_force = format!("event=config_in_force version={version} ");
+        self.gateway.wait_logged(&in_force).await;
+    }
+
     /// Checks that the process lives within its machine and serves an ordinary request.
     ///
     /// The connections of a crowd must still be open.
@@ -122,6 +121,19 @@
     }
 }
 
+fn put_configuration(platform: &TestPlatform, version: u64, body_max_bytes: usize) {
+    let limit = format!("\"max_body_bytes\":{body_max_bytes}");
+    let configuration = configuration_with(version, ROUTES)
+        .replace("\"max_body_bytes\":1000", &limit)
+        .replace("\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":60000")
+        .replace("\"header_timeout_ms\":3000", "\"header_timeout_ms\":60000")
+        .replace(
+            r#"{"name":"plain","#,
+            r#"{"name":"held","health_path":"/h","max_conns":100},{"name":"plain","#,
+        );
+    platform.log.put("keyed.op", "config", &configuration);
+}
+
 /// Head of a request of team A whose body has a length.
 pub fn sized_head(path: &str, id: &str, len: usize) -> String {
     head(path, id, &format!("content-length: {len}\r\n"))
