Soak gateways with crowds, signals, restarts and changes by seed

Each step of a seed sends a crowd of one of eight kinds to one of the gateways, and overlaps it with a reload, a freeze, a stop, a kill or a change of the limit of bodies. All connections stay open until the end, or until their process is gone. After each step every process must live within its memory and descriptors and answer an ordinary caller that comes back as it is told; a stopped process must end.

--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -18,6 +18,8 @@
 mod entry;
 #[path = "clients/gateway.rs"]
 mod gateway;
+#[path = "clients/soak.rs"]
+mod soak;
 
 /// Held by the test that runs.
 static ALONE: Mutex<()> = Mutex::const_new(());
--- a/tests/clients/bodies.rs
+++ b/tests/clients/bodies.rs
@@ -47,7 +47,10 @@
     let body = vec![b'd'; BODY_MAX_BYTES];
     let mut crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
     fixture.assert_serves_within_bounds().await;
-    fixture.assert_refused_have_not_run(&mut crowd).await;
+    fixture
+        .deployment
+        .assert_refused_have_not_run(&mut crowd)
+        .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -58,7 +61,7 @@
     let body = vec![b'd'; BODY_MAX_BYTES - 1];
     let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
     fixture.assert_serves_within_bounds().await;
-    assert!(fixture.held.received().is_empty());
+    assert!(fixture.deployment.held.received().is_empty());
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -69,7 +72,7 @@
     let body = chunks(BODY_MAX_BYTES - 1, LARGE_CHUNK_BYTES);
     let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
     fixture.assert_serves_within_bounds().await;
-    assert!(fixture.held.received().is_empty());
+    assert!(fixture.deployment.held.received().is_empty());
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -81,7 +84,7 @@
     let _crowd =
         Crowd::send(fixture.gateway.callers, TINY_CHUNKS_CROWD, head, body).await;
     fixture.assert_serves_within_bounds().await;
-    assert!(fixture.held.received().is_empty());
+    assert!(fixture.deployment.held.received().is_empty());
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -92,7 +95,7 @@
     let body = vec![b'd'; FAR_OVER_LIMIT_BYTES];
     let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
     fixture.assert_serves_within_bounds().await;
-    assert!(fixture.held.received().is_empty());
+    assert!(fixture.deployment.held.received().is_empty());
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -103,7 +106,7 @@
     let body = chunks(FAR_OVER_LIMIT_BYTES, LARGE_CHUNK_BYTES);
     let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
     fixture.assert_serves_within_bounds().await;
-    assert!(fixture.held.received().is_empty());
+    assert!(fixture.deployment.held.received().is_empty());
 }
 
 /// Clients without a key must not take memory for what is not even read for an endpoint.
@@ -116,7 +119,7 @@
     let body = vec![b'd'; BODY_MAX_BYTES - 1];
     let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
     fixture.assert_serves_within_bounds().await;
-    assert!(fixture.held.received().is_empty());
+    assert!(fixture.deployment.held.received().is_empty());
 }
 
 /// A crowd that stops short must not keep out a large body that arrives, if its client
@@ -140,7 +143,7 @@
         tokio::time::sleep(Duration::from_secs_f64(after_s)).await;
         reply = send_bytes(fixture.gateway.callers, &whole).await;
     }
-    assert_served(&fixture.plain, &reply, &payload).await;
+    assert_served(&fixture.deployment.plain, &reply, &payload).await;
     fixture.assert_serves_within_bounds().await;
 }
 
@@ -172,7 +175,7 @@
         let status_line = format!("HTTP/1.1 {status} ");
         assert!(answer.starts_with(&status_line), "{answer}");
     }
-    assert!(fixture.held.received().is_empty());
+    assert!(fixture.deployment.held.received().is_empty());
 }
 
 /// A body that never ends must not keep its request open for good.
@@ -187,7 +190,7 @@
         let reply = client.reply().await;
         assert_eq!(reply.status, 408, "{reply:?}");
     }
-    assert!(fixture.held.received().is_empty());
+    assert!(fixture.deployment.held.received().is_empty());
     fixture.assert_serves_within_bounds().await;
 }
 
@@ -254,7 +257,7 @@
         stream.write_all(piece).await.expect("a piece is sent");
     }
     let reply = read_reply(&mut stream).await;
-    assert_served(&fixture.plain, &reply, &payload).await;
+    assert_served(&fixture.deployment.plain, &reply, &payload).await;
 }
 
 async fn assert_served(endpoint: &ScriptedEndpoint, sent: &Reply, payload: &[u8]) {
@@ -275,13 +278,13 @@
     let mut sized = sized_head("/once/", "s1", BODY_MAX_BYTES).into_bytes();
     sized.extend_from_slice(&payload);
     let reply = send_bytes(callers, &sized).await;
-    assert_served(&fixture.plain, &reply, &payload).await;
+    assert_served(&fixture.deployment.plain, &reply, &payload).await;
 
     let mut chunked = chunked_head("/once/", "s2").into_bytes();
     chunked.extend(chunks(BODY_MAX_BYTES, LARGE_CHUNK_BYTES));
     chunked.extend_from_slice(b"0\r\n\r\n");
     let reply = send_bytes(callers, &chunked).await;
-    assert_served(&fixture.plain, &reply, &payload).await;
+    assert_served(&fixture.deployment.plain, &reply, &payload).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -293,5 +296,5 @@
     chunked.extend_from_slice(b"0\r\n\r\n");
     let reply = send_bytes(fixture.gateway.callers, &chunked).await;
     let payload = vec![b'd'; TINY_CHUNKS_BYTES];
-    assert_served(&fixture.plain, &reply, &payload).await;
+    assert_served(&fixture.deployment.plain, &reply, &payload).await;
 }
--- a/tests/clients/connections.rs
+++ b/tests/clients/connections.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ALONE,
-    gateway::{Fixture, sized_head},
+    gateway::{Fixture, assert_descriptors_left, sized_head},
     util::crowd::Crowd,
 };
 
@@ -17,7 +17,7 @@
     let callers = fixture.gateway.callers;
     let _crowd = Crowd::send(callers, CONNECTIONS_CROWD, head, Vec::new()).await;
     fixture.assert_serves_within_bounds().await;
-    fixture.assert_descriptors_left();
+    assert_descriptors_left(&fixture.gateway);
 }
 
 /// The readiness check, the metrics and the configuration for peers share the descriptors
@@ -34,7 +34,7 @@
         let crowd = Crowd::send(listener, CONNECTIONS_CROWD, head, padding).await;
         crowds.push(crowd);
         fixture.assert_serves_within_bounds().await;
-        fixture.assert_descriptors_left();
+        assert_descriptors_left(&fixture.gateway);
     }
 }
 
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -7,8 +7,8 @@
     util::{
         crowd::Crowd,
         gateway_harness::{
-            GatewayOptions, GatewayProcess, TestPlatform, configuration_with, request,
-            send,
+            GatewayOptions, GatewayProcess, Reply, TestPlatform, configuration_with,
+            request, send,
         },
     },
 };
@@ -29,79 +29,58 @@
 {"name":"slow","host":"h.example","path_prefix":"/slow/","kind":"unsafe","timeout_ms":600000,"slo_ms":100,"priority":2,"service":"held","max_attempts":1,"public":false},
 {"name":"held","host":"h.example","path_prefix":"/held/","kind":"unsafe","timeout_ms":2000,"slo_ms":100,"priority":2,"service":"held","max_attempts":1,"public":false}"#;
 
-/// A gateway with an endpoint that answers and one that holds its requests.
-pub struct Fixture {
-    pub gateway: GatewayProcess,
-    /// Runs the requests under `/held/`, and never answers.
+/// A platform with an endpoint that answers and one that holds its requests.
+pub struct Deployment {
+    /// Runs the requests under `/held/` and `/slow/`, and never answers.
     pub held: ScriptedEndpoint,
-    /// Answers the requests under `/once/` and `/safe/`.
+    /// Answers the requests under `/once/`, `/safe/` and `/patient/`.
     pub plain: ScriptedEndpoint,
     platform: TestPlatform,
 }
 
-impl Fixture {
-    pub async fn start() -> Fixture {
-        Fixture::start_with(None).await
-    }
-
-    /// Like [`Fixture::start`], with at most [`DESCRIPTORS_MAX`] descriptors.
-    pub async fn start_with_few_descriptors() -> Fixture {
-        Fixture::start_with(Some(DESCRIPTORS_MAX)).await
-    }
-
-    async fn start_with(descriptors_max: Option<u32>) -> Fixture {
+impl Deployment {
+    pub async fn start() -> Deployment {
         let platform = TestPlatform::start().await;
-        put_configuration(&platform, 2, BODY_MAX_BYTES);
         let held = ScriptedEndpoint::start(Action::Hang).await;
         let plain = ScriptedEndpoint::start(Action::Answer).await;
         platform.announce("p1", "plain", &plain);
         platform.announce("h1", "held", &held);
+        let deployment = Deployment {
+            held,
+            plain,
+            platform,
+        };
+        deployment.put_body_max(2, BODY_MAX_BYTES);
+        deployment
+    }
+
+    /// Starts a gateway of the smallest machine, and waits until it knows the endpoints.
+    pub async fn gateway(&self, descriptors_max: Option<u32>) -> GatewayProcess {
         let options = GatewayOptions {
             process: &format!("memory_mb = {MEMORY_MB}"),
             descriptors_max,
             ..GatewayOptions::default()
         };
-        let log = platform.log.address;
-        let gateway = GatewayProcess::start_with(&platform.dir, log, &options);
+        let log = self.platform.log.address;
+        let gateway = GatewayProcess::start_with(&self.platform.dir, log, &options);
         gateway.wait_ready().await;
         gateway.wait_logged("endpoint=p1").await;
         gateway.wait_logged("endpoint=h1").await;
-        Fixture {
-            gateway,
-            held,
-            plain,
-            platform,
-        }
-    }
-
-    /// Puts another limit of bodies in force.
-    pub async fn change_body_max(&self, version: u64, body_max_bytes: usize) {
-        put_configuration(&self.platform, version, body_max_bytes);
-        let in_force = format!("event=config_in_force version={version} ");
-        self.gateway.wait_logged(&in_force).await;
-    }
-
-    /// Checks that the process lives within its machine and serves an ordinary request.
-    ///
-    /// The connections of a crowd must still be open.
-    pub async fn assert_serves_within_bounds(&self) {
-        let peak_kib = self.gateway.memory_peak_kib();
-        let unread_kib = self.gateway.unread_kib();
-        assert!(
-            peak_kib + unread_kib < MEMORY_MAX_KIB,
-            "{peak_kib} KiB of memory, {unread_kib} KiB unread"
-        );
-        let body = "o".repeat(ORDINARY_BODY_BYTES);
-        let text = request("POST", "/once/", "ordinary", "", &body);
-        let reply = send(self.gateway.callers, &text).await;
-        assert_eq!(reply.status, 200, "{reply:?}");
+        gateway
     }
 
-    /// Checks the number of open descriptors, of which some are reserved for files.
-    pub fn assert_descriptors_left(&self) {
-        let open = self.gateway.descriptors();
-        let max = DESCRIPTORS_MAX as usize - DESCRIPTORS_RESERVED;
-        assert!(open < max, "{open} descriptors are open");
+    /// Records a configuration with this limit of bodies.
+    pub fn put_body_max(&self, version: u64, body_max_bytes: usize) {
+        let limit = format!("\"max_body_bytes\":{body_max_bytes}");
+        let configuration = configuration_with(version, ROUTES)
+            .replace("\"max_body_bytes\":1000", &limit)
+            .replace("\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":60000")
+            .replace("\"header_timeout_ms\":3000", "\"header_timeout_ms\":60000")
+            .replace(
+                r#"{"name":"plain","#,
+                r#"{"name":"held","health_path":"/h","max_conns":100},{"name":"plain","#,
+            );
+        self.platform.log.put("keyed.op", "config", &configuration);
     }
 
     /// Checks that no request ran whose answer says that it did not; reads the answers.
@@ -121,17 +100,70 @@
     }
 }
 
-fn put_configuration(platform: &TestPlatform, version: u64, body_max_bytes: usize) {
-    let limit = format!("\"max_body_bytes\":{body_max_bytes}");
-    let configuration = configuration_with(version, ROUTES)
-        .replace("\"max_body_bytes\":1000", &limit)
-        .replace("\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":60000")
-        .replace("\"header_timeout_ms\":3000", "\"header_timeout_ms\":60000")
-        .replace(
-            r#"{"name":"plain","#,
-            r#"{"name":"held","health_path":"/h","max_conns":100},{"name":"plain","#,
-        );
-    platform.log.put("keyed.op", "config", &configuration);
+/// Checks that a process lives within the memory of its machine.
+pub fn assert_within_memory(gateway: &GatewayProcess) {
+    let peak_kib = gateway.memory_peak_kib();
+    let unread_kib = gateway.unread_kib();
+    assert!(
+        peak_kib + unread_kib < MEMORY_MAX_KIB,
+        "{peak_kib} KiB of memory, {unread_kib} KiB unread"
+    );
+}
+
+/// Checks the number of open descriptors of a process that may open [`DESCRIPTORS_MAX`],
+/// of which some are reserved for files.
+pub fn assert_descriptors_left(gateway: &GatewayProcess) {
+    let open = gateway.descriptors();
+    let max = DESCRIPTORS_MAX as usize - DESCRIPTORS_RESERVED;
+    assert!(open < max, "{open} descriptors are open");
+}
+
+/// Sends an ordinary request.
+pub async fn send_ordinary(gateway: &GatewayProcess, id: &str) -> Reply {
+    let body = "o".repeat(ORDINARY_BODY_BYTES);
+    let text = request("POST", "/once/", id, "", &body);
+    send(gateway.callers, &text).await
+}
+
+/// A deployment with one gateway.
+pub struct Fixture {
+    pub gateway: GatewayProcess,
+    pub deployment: Deployment,
+}
+
+impl Fixture {
+    pub async fn start() -> Fixture {
+        Fixture::start_with(None).await
+    }
+
+    /// Like [`Fixture::start`], with at most [`DESCRIPTORS_MAX`] descriptors.
+    pub async fn start_with_few_descriptors() -> Fixture {
+        Fixture::start_with(Some(DESCRIPTORS_MAX)).await
+    }
+
+    async fn start_with(descriptors_max: Option<u32>) -> Fixture {
+        let deployment = Deployment::start().await;
+        Fixture {
+            gateway: deployment.gateway(descriptors_max).await,
+            deployment,
+        }
+    }
+
+    /// Puts another limit of bodies in force.
+    pub async fn change_body_max(&self, version: u64, body_max_bytes: usize) {
+        self.deployment.put_body_max(version, body_max_bytes);
+        let in_force = format!("event=config_in_force version={version} ");
+        self.gateway.wait_logged(&in_force).await;
+    }
+
+    /// Checks that the process lives within its machine and serves an ordinary request.
+    ///
+    /// The connections of a crowd must still be open.
+    pub async fn assert_serves_within_bounds(&self) {
+        assert_within_memory(&self.gateway);
+        let reply = send_ordinary(&self.gateway, "ordinary").await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
 }
 
 /// Head of a request of team A whose body has a length.
