Count the longest head in the memory of a connection

Callers' heads are bounded by what the operator sets, but the number of connections was counted as if that were 16 KiB: with heads of a megabyte, partial heads alone could take more than the instance has.

Change: the bound of connections follows from the configuration in force, 80 KiB and the longest head for each; a lower bound closes silent connections with the next new one. At 16 KiB an instance of 88 MB takes 358 connections (429 before). The table's tests cover a bound that shrinks.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -14,7 +14,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use ingress::{Connections, InstanceShares};
+use ingress::{Connections, INTERNAL_BUFFER_BYTES, InstanceShares};
 use log::{info, warn};
 use node::{HeartbeatResult, Node, NodeKind};
 use settings::Settings;
@@ -54,7 +54,10 @@
     node.run(|_result: HeartbeatResult| {});
     let process = &node.settings.process;
     let shares = InstanceShares::read(process.memory_mb, process.descriptors_max);
-    let connections = Connections::new(shares.connections(), node.clock.clone());
+    let connections = Connections::new(
+        shares.connections(INTERNAL_BUFFER_BYTES),
+        node.clock.clone(),
+    );
     let serving = wire::serve_agent(listener, agent.clone(), connections);
     tokio::task::spawn_local(serving);
     tokio::task::spawn_local(engine::poll_load(agent.clone()));
--- a/crates/entry/src/caller_server.rs
+++ b/crates/entry/src/caller_server.rs
@@ -28,7 +28,7 @@
 use crate::Entry;
 
 /// Maximum size of the head of a request and of the read buffer for a body, bytes.
-const BUFFER_MAX_BYTES: usize = 64 * 1024;
+pub(crate) const BUFFER_MAX_BYTES: usize = 64 * 1024;
 
 /// Delay after a connection could not be accepted, ms.
 const ACCEPT_PAUSE_MS: u64 = 50;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -24,7 +24,7 @@
 use volo_http::client::{Client, ClientBuilder};
 use wire::Hello;
 
-use crate::outcomes::Outcomes;
+use crate::{caller_server::BUFFER_MAX_BYTES, outcomes::Outcomes};
 
 /// How often an entry holds a body: as it arrived, as the text of its prompt, and in the
 /// message to an agent.
@@ -79,7 +79,10 @@
         let bodies_bytes = shares.bodies_bytes() / BODY_COPIES;
         Entry {
             shares,
-            connections: Connections::new(shares.connections(), node.clock.clone()),
+            connections: Connections::new(
+                shares.connections(BUFFER_MAX_BYTES),
+                node.clock.clone(),
+            ),
             bodies: Bodies::new(bodies_bytes, node.clock.clone()),
             ticket_keys: TicketKeys::new(&settings.secrets.ticket_keys),
             pick_settings,
--- a/crates/gateway/src/internal_server.rs
+++ b/crates/gateway/src/internal_server.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use ingress::{Connection, Connections};
+use ingress::{Connection, Connections, INTERNAL_BUFFER_BYTES};
 use log::warn;
 use telemetry::Occasional;
 use tokio::net::{TcpListener, TcpStream};
@@ -17,9 +17,6 @@
 /// Delay after a connection could not be accepted, ms.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
-/// Maximum size of the head of a request, bytes.
-const BUFFER_MAX_BYTES: usize = 16 * 1024;
-
 /// Serves `listener` for as long as the process runs.
 pub(crate) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     let open_max = gateway.shares.internal_connections();
@@ -58,7 +55,7 @@
     });
     let connection = http1::Builder::new()
         .auto_date_header(false)
-        .max_buf_size(BUFFER_MAX_BYTES)
+        .max_buf_size(INTERNAL_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), answer);
     tokio::select! {
         // Ignored: a client whose connection fails sends its request again.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -155,7 +155,10 @@
             status_pacing: ReadPacing::new(wait_ms * STATUS_WAIT_FACTOR),
             names: platform::header_names(),
             shares,
-            caller_connections: Connections::new(shares.connections(), clock.clone()),
+            caller_connections: Connections::new(
+                shares.connections(Limits::default().head_max_bytes),
+                clock.clone(),
+            ),
             bodies: Bodies::new(shares.bodies_bytes(), clock.clone()),
             clock,
             sizes,
@@ -249,6 +252,8 @@
             catalog.routes.len(),
             catalog.teams.len(),
         );
+        let open_max = self.shares.connections(catalog.limits.head_max_bytes);
+        self.caller_connections.set_open_max(open_max);
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         *self.catalog_record.borrow_mut() = record.clone();
     }
--- a/crates/ingress/src/connection_table.rs
+++ b/crates/ingress/src/connection_table.rs
@@ -24,12 +24,12 @@
 }
 
 /// What happens to a new connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Admission {
     /// It stays open.
     Admitted(ConnectionId),
-    /// It stays open, and the second one has to be closed.
-    Replaced(ConnectionId, ConnectionId),
+    /// It stays open, and the others have to be closed.
+    Replaced(ConnectionId, Vec<ConnectionId>),
     /// It has to be closed, since every other one has a request in progress.
     Rejected,
 }
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Changes the number of connections that may be open. None is closed for that until
+    /// the next new one.
+    pub fn set_open_max(&mut self, open_max: usize) {
+        self.open_max = open_max;
+    }
+
     /// Returns the number of open connections.
     pub fn open(&self) -> usize {
         self.connections.len()
@@ -62,11 +68,18 @@
         if self.open() < self.open_max {
             return Admission::Admitted(self.add(now));
         }
-        let Some(victim) = self.longest_silent() else {
+        let mut victims = Vec::new();
+        while self.open() >= self.open_max {
+            let Some(victim) = self.longest_silent() else {
+                break;
+            };
+            self.connections.remove(&victim);
+            victims.push(victim);
+        }
+        if victims.is_empty() {
             return Admission::Rejected;
-        };
-        self.connections.remove(&victim);
-        Admission::Replaced(self.add(now), victim)
+        }
+        Admission::Replaced(self.add(now), victims)
     }
 
     fn add(&mut self, now: Millis) -> ConnectionId {
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -24,6 +24,17 @@
     evictions: HashMap<ConnectionId, Arc<Notify>>,
 }
 
+impl Shared {
+    /// Tells connections that they are no longer in the table.
+    fn evict(&mut self, victims: &[ConnectionId]) {
+        for victim in victims {
+            if let Some(eviction) = self.evictions.remove(victim) {
+                eviction.notify_one();
+            }
+        }
+    }
+}
+
 impl Connections {
     /// Creates a set of at most `open_max` connections.
     pub fn new(open_max: usize, clock: SystemClock) -> Self {
@@ -42,6 +53,11 @@
         self.lock().table.open()
     }
 
+    /// Changes the number of connections that may be open.
+    pub fn set_open_max(&self, open_max: usize) {
+        self.lock().table.set_open_max(open_max);
+    }
+
     /// Returns the current time of the clock that the connections go by.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -54,10 +70,8 @@
         let mut shared = self.lock();
         let id = match shared.table.admit(now) {
             Admission::Admitted(id) => id,
-            Admission::Replaced(id, victim) => {
-                if let Some(eviction) = shared.evictions.remove(&victim) {
-                    eviction.notify_one();
-                }
+            Admission::Replaced(id, victims) => {
+                shared.evict(&victims);
                 id
             }
             Admission::Rejected => return None,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -17,4 +17,4 @@
 pub use connection_table::{Admission, ConnectionId, ConnectionTable};
 pub use connections::{Connection, Connections};
 pub use discard::discard;
-pub use shares::{InstanceShares, RECEIVE_BUFFER_BYTES};
+pub use shares::{INTERNAL_BUFFER_BYTES, InstanceShares, RECEIVE_BUFFER_BYTES};
--- a/crates/ingress/src/shares.rs
+++ b/crates/ingress/src/shares.rs
@@ -10,14 +10,17 @@
 /// Part of the memory that connections may hold, percent.
 const CONNECTIONS_PERCENT: u64 = 40;
 
-/// Memory that a connection takes besides its request's body, bytes: its task, its read
-/// buffer and what the kernel keeps for it.
-const CONNECTION_BYTES: u64 = 80 * 1024;
+/// Memory that a connection takes besides what it receives, bytes: its task and the
+/// buffers of its answer.
+const CONNECTION_BYTES: u64 = 16 * 1024;
 
 /// Size of the receive buffer of a caller's connection, bytes. What the kernel has
 /// received takes memory while the process cannot read it.
 pub const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Size of the read buffer of an internal connection, bytes.
+pub const INTERNAL_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Descriptors that callers leave for files.
 const FILES_RESERVED: u64 = 200;
 
@@ -71,10 +74,11 @@
         self.memory_bytes / 100 * BODIES_PERCENT
     }
 
-    /// Returns the number of callers' connections that may be open.
-    pub fn connections(&self) -> usize {
-        let by_memory =
-            self.memory_bytes / 100 * CONNECTIONS_PERCENT / CONNECTION_BYTES;
+    /// Returns the number of callers' connections that may be open, if each has a receive
+    /// buffer of [`RECEIVE_BUFFER_BYTES`] and a read buffer of `buffer_bytes`.
+    pub fn connections(&self, buffer_bytes: usize) -> usize {
+        let each = CONNECTION_BYTES + (RECEIVE_BUFFER_BYTES + buffer_bytes) as u64;
+        let by_memory = self.memory_bytes / 100 * CONNECTIONS_PERCENT / each;
         let sockets = self.descriptors_max.saturating_sub(FILES_RESERVED);
         let by_descriptors = sockets / OUTGOING_PART;
         let connections = by_memory.min(by_descriptors).max(CONNECTIONS_MIN);
@@ -84,13 +88,15 @@
     /// Returns the number of connections of peers that an entry may have open besides its
     /// callers'.
     pub fn peer_connections(&self) -> usize {
-        (self.connections() / PEER_PART).max(CONNECTIONS_MIN as usize)
+        (self.connections(INTERNAL_BUFFER_BYTES) / PEER_PART)
+            .max(CONNECTIONS_MIN as usize)
     }
 
     /// Returns the number of connections that each listener for readiness checks, metrics,
     /// operators or peers may have open.
     pub fn internal_connections(&self) -> usize {
-        (self.connections() / INTERNAL_PART).max(CONNECTIONS_MIN as usize)
+        (self.connections(INTERNAL_BUFFER_BYTES) / INTERNAL_PART)
+            .max(CONNECTIONS_MIN as usize)
     }
 }
 
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -18,10 +18,10 @@
     let mut table = ConnectionTable::new(3);
     let ids = [START, START.plus(1), START.plus(2)].map(|now| admit(&mut table, now));
     table.heard(ids[0], START.plus(10));
-    let Admission::Replaced(_, victim) = table.admit(START.plus(20)) else {
+    let Admission::Replaced(_, victims) = table.admit(START.plus(20)) else {
         panic!("a silent connection gives way");
     };
-    assert_eq!(victim, ids[1]);
+    assert_eq!(victims, [ids[1]]);
     assert_eq!(table.open(), 3);
 }
 
@@ -35,7 +35,23 @@
     assert_eq!(table.admit(START.plus(60_000)), Admission::Rejected);
     table.answered(ids[1], START.plus(60_000));
     let admission = table.admit(START.plus(60_001));
-    assert!(matches!(admission, Admission::Replaced(_, victim) if victim == ids[1]));
+    assert!(
+        matches!(admission, Admission::Replaced(_, victims) if victims == [ids[1]])
+    );
+}
+
+#[test]
+fn lower_bound_closes_silent_connections_with_the_next_new_one() {
+    let mut table = ConnectionTable::new(4);
+    let ids = [0, 1, 2, 3].map(|ms| admit(&mut table, START.plus(ms)));
+    table.request_received(ids[0]);
+    table.set_open_max(2);
+    assert_eq!(table.open(), 4);
+    let Admission::Replaced(_, victims) = table.admit(START.plus(10)) else {
+        panic!("silent connections give way");
+    };
+    assert_eq!(victims, [ids[1], ids[2], ids[3]]);
+    assert_eq!(table.open(), 2);
 }
 
 #[test]
@@ -65,9 +81,11 @@
             match (kind, connection) {
                 (0, _) => match table.admit(now) {
                     Admission::Admitted(id) => known.push((id, false)),
-                    Admission::Replaced(id, victim) => {
-                        prop_assert!(known.contains(&(victim, false)));
-                        known.retain(|(known, _)| *known != victim);
+                    Admission::Replaced(id, victims) => {
+                        for victim in victims {
+                            prop_assert!(known.contains(&(victim, false)));
+                            known.retain(|(known, _)| *known != victim);
+                        }
                         known.push((id, false));
                     }
                     Admission::Rejected => {
@@ -101,7 +119,7 @@
             memory_bytes: memory_mb * 1_000_000,
             descriptors_max,
         };
-        let connections = shares.connections() as u64;
+        let connections = shares.connections(16 * 1024) as u64;
         assert!(connections > 256, "{connections} at {memory_mb} MB");
         assert!(connections < descriptors_max / 2);
         assert!(shares.bodies_bytes() > 6 * 4 * 1024 * 1024);
