Answer 502 if an endpoint only looks as if it had not run a request

Cause: a server error of a request that may not be repeated was passed on as it was. A 408, 429 or 503 tells callers that the request did not run, which an endpoint says only by its own header, or by 421.

Change: without that header these three statuses are a failure after which the request may have run (reason `false_refusal`): 502, without the endpoint's signature. Requests that may be repeated are as before.

`false_refusal::failure_after_a_run_is_not_passed_on_as_a_refusal` failed before (408 passed on) and holds; a real refusal stays one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -384,6 +384,16 @@
     headers.get(&gateway.names.request_id) == Some(&req.id)
 }
 
+/// Whether callers take the status as a promise that their request did not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Checks that the response belongs to this request, is signed if successful, and
 /// does not report that the request did not run.
 fn check_answer(
@@ -408,6 +418,12 @@
         in_flight.record_health(HealthSample::Full, "full");
         return Err(Failure::NotRun("full"));
     }
+    // The status would promise the caller that the request did not run, which the endpoint
+    // did not say. One that may be repeated is safe with that.
+    if !req.retry_safety().is_retryable() && promises_not_run(status) {
+        in_flight.record_health(HealthSample::Failure, "false_refusal");
+        return Err(Failure::MayHaveRun("false_refusal"));
+    }
     if status.is_success() && !headers.contains_key(&names.signature) {
         in_flight.record_health(HealthSample::Failure, "unsigned_answer");
         return Err(Failure::MayHaveRun("unsigned_answer"));
--- a/crates/standin/src/scripted_endpoint.rs
+++ b/crates/standin/src/scripted_endpoint.rs
@@ -31,6 +31,8 @@
     Answer,
     /// Runs it and responds with 500.
     Fail,
+    /// Runs it and responds with this status, which only looks like a refusal.
+    FailWith(u16),
     /// Responds with 503 and marks the request as not executed.
     Refuse,
     /// Like [`Action::Refuse`], with this value of `Retry-After`.
@@ -516,6 +518,9 @@
             refusal_of("", state).replace("x-request-id: \r\n", "")
         }
         Action::Fail => response("500 Internal Server Error", id, signed, "failed"),
+        Action::FailWith(status) => {
+            response(&format!("{status} Failed"), id, signed, "failed")
+        }
         Action::Refuse => refusal_of(id, state),
         Action::RefuseFor(retry_after) => {
             let extra =
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -22,6 +22,7 @@
 mod endpoint_state;
 mod evacuation;
 mod events;
+mod false_refusal;
 mod gate;
 mod gateway;
 mod golden;
