Accept connections within a bound in one place

Five listeners repeated the loop that pauses after a failed accept, asks the table and logs at most once a second. It is now ingress::Listener; an entry's and a gateway's callers count their rejections as before.

--- a/crates/entry/src/caller_server.rs
+++ b/crates/entry/src/caller_server.rs
@@ -14,10 +14,9 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use ingress::Connection;
-use log::{info, warn};
+use ingress::{Accepted, Connection, Listener};
+use log::info;
 use motore::service::Service;
-use telemetry::Occasional;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -30,9 +29,6 @@
 /// Maximum size of the head of a request and of the read buffer for a body, bytes.
 pub(crate) const BUFFER_MAX_BYTES: usize = 64 * 1024;
 
-/// Delay after a connection could not be accepted, ms.
-const ACCEPT_PAUSE_MS: u64 = 50;
-
 /// Time after the last request in progress in which idle connections may still send one,
 /// which is refused, ms.
 const IDLE_DRAIN_MS: u64 = 2_000;
@@ -61,10 +57,9 @@
         closing,
     });
     tokio::select! {
-        () = accept(&server, &listener) => {}
+        () = accept(&server, listener) => {}
         () = drained => {}
     }
-    drop(listener);
     tokio::time::sleep(Duration::from_millis(IDLE_DRAIN_MS)).await;
     close.send_replace(true);
     let closed = wait_closed(entry);
@@ -89,34 +84,19 @@
     closing: watch::Receiver<bool>,
 }
 
-async fn accept(server: &Arc<Server>, listener: &TcpListener) {
-    let (failures, rejections) = (Occasional::default(), Occasional::default());
+async fn accept(server: &Arc<Server>, listener: TcpListener) {
     let entry = &server.entry;
+    let mut listener = Listener::new("callers", listener, entry.connections.clone());
     loop {
         match listener.accept().await {
-            Ok((stream, peer)) => match entry.connections.admit() {
-                Some(place) => {
-                    let serving = serve_one(server.clone(), stream, peer, place);
-                    tokio::spawn(serving);
-                }
-                None => {
-                    entry.node.metrics.count("connection_rejected");
-                    if let Some(count) = rejections.due(entry.node.now()) {
-                        let open = entry.connections.open();
-                        warn!(
-                            "event=connection_rejected count={count} connections={open}"
-                        );
-                    }
-                }
-            },
-            Err(err) => {
-                if let Some(count) = failures.due(entry.node.now()) {
-                    warn!(
-                        "event=accept_failed listener=callers count={count} reason=\"{err}\""
-                    );
-                }
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            Accepted::Admitted {
+                stream,
+                peer,
+                place,
+            } => {
+                tokio::spawn(serve_one(server.clone(), stream, peer, place));
             }
+            Accepted::Rejected => entry.node.metrics.count("connection_rejected"),
         }
     }
 }
--- a/crates/entry/src/operator_listener.rs
+++ b/crates/entry/src/operator_listener.rs
@@ -1,10 +1,9 @@
 //! Accepts operators' connections within a bound.
 
-use std::{io, time::Duration};
+use std::io;
 
-use ingress::{Connection, Connections};
+use ingress::{Accepted, Connection, Connections, Listener};
 use log::warn;
-use telemetry::Occasional;
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpStream, UnixStream},
@@ -15,43 +14,21 @@
     incoming::{Incoming, MakeIncoming},
 };
 
-/// Delay after a connection could not be accepted, ms.
-const ACCEPT_PAUSE_MS: u64 = 50;
-
 /// Accepts operators' connections; a new one replaces the oldest if there are too many.
 ///
 /// The gRPC server hides when a connection ends, so each one is passed on through a pair
 /// of local sockets, one of which is kept here.
 #[derive(Debug)]
 pub(crate) struct OperatorListener {
-    listener: TcpListener,
-    connections: Connections,
-    failures: Occasional,
+    listener: Listener,
 }
 
 impl OperatorListener {
     pub fn new(listener: TcpListener, connections: Connections) -> Self {
         OperatorListener {
-            listener,
-            connections,
-            failures: Occasional::default(),
+            listener: Listener::new("operators", listener, connections),
         }
     }
-
-    /// Accepts a connection; `None` if it is not kept.
-    async fn accept_one(&mut self) -> io::Result<Option<Conn>> {
-        let (stream, peer) = self.listener.accept().await?;
-        let Some(place) = self.connections.admit() else {
-            return Ok(None);
-        };
-        let (kept, passed) = UnixStream::pair()?;
-        tokio::spawn(relay(stream, kept, place));
-        let info = ConnInfo {
-            peer_addr: Some(Address::from(peer)),
-        };
-        let stream = ConnStream::Unix(passed);
-        Ok(Some(Conn { stream, info }))
-    }
 }
 
 impl MakeIncoming for OperatorListener {
@@ -63,20 +40,32 @@
 }
 
 impl Incoming for OperatorListener {
+    /// Waits for the next connection; the server ends for good if this ever fails.
     async fn accept(&mut self) -> io::Result<Option<Conn>> {
         loop {
-            match self.accept_one().await {
-                Ok(Some(conn)) => return Ok(Some(conn)),
-                Ok(None) => {}
+            let accepted = self.listener.accept().await;
+            let Accepted::Admitted {
+                stream,
+                peer,
+                place,
+            } = accepted
+            else {
+                continue;
+            };
+            let (kept, passed) = match UnixStream::pair() {
+                Ok(pair) => pair,
                 Err(err) => {
-                    if let Some(count) = self.failures.due(self.connections.now()) {
-                        warn!(
-                            "event=accept_failed listener=operators count={count} reason=\"{err}\""
-                        );
-                    }
-                    tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                    warn!("event=operator_rejected reason=\"{err}\"");
+                    continue;
                 }
-            }
+            };
+            tokio::spawn(relay(stream, kept, place));
+            return Ok(Some(Conn {
+                stream: ConnStream::Unix(passed),
+                info: ConnInfo {
+                    peer_addr: Some(Address::from(peer)),
+                },
+            }));
         }
     }
 }
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -12,8 +12,8 @@
 use http::Request;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use ingress::{Accepted, Listener};
 use log::{info, warn};
-use telemetry::Occasional;
 use tokio::{
     io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
     net::{TcpListener, TcpStream},
@@ -28,9 +28,6 @@
 /// Interval of checks of a connection's idle and head timeouts, ms.
 const CHECK_INTERVAL_MS: u64 = 500;
 
-/// Delay after a connection could not be accepted, ms.
-const ACCEPT_PAUSE_MS: u64 = 50;
-
 /// Minimum duration of draining, ms.
 const DRAIN_MIN_MS: u64 = 3_500;
 
@@ -109,41 +106,23 @@
 pub(crate) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     // Created once, outside the loop: the notification that it waits for comes once.
     let mut closed = pin!(accept_window_closed(&gateway));
-    let (failures, rejections) = (Occasional::default(), Occasional::default());
+    let connections = gateway.caller_connections.clone();
+    let mut listener = Listener::new("callers", listener, connections);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = &mut closed => return,
         };
         match accepted {
-            Ok((stream, _)) => match gateway.caller_connections.admit() {
-                Some(place) => {
-                    let state = ConnectionState::new(gateway.clone(), place);
-                    tokio::task::spawn_local(serve_one(Rc::new(state), stream));
-                }
-                None => reject(&gateway, &rejections),
-            },
-            Err(err) => {
-                if let Some(count) = failures.due(gateway.now()) {
-                    warn!(
-                        "event=accept_failed listener=callers count={count} reason=\"{err}\""
-                    );
-                }
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            Accepted::Admitted { stream, place, .. } => {
+                let state = ConnectionState::new(gateway.clone(), place);
+                tokio::task::spawn_local(serve_one(Rc::new(state), stream));
             }
+            Accepted::Rejected => gateway.stats.count("refused", "no_connection_left"),
         }
     }
 }
 
-/// Records that a new connection was closed, since all others have requests in progress.
-fn reject(gateway: &Gateway, rejections: &Occasional) {
-    gateway.stats.count("refused", "no_connection_left");
-    if let Some(count) = rejections.due(gateway.now()) {
-        let open = gateway.caller_connections.open();
-        warn!("event=connection_rejected count={count} connections={open}");
-    }
-}
-
 async fn accept_window_closed(gateway: &Gateway) {
     gateway.drain_started.notified().await;
     let takes_connections =
--- a/crates/gateway/src/internal_server.rs
+++ b/crates/gateway/src/internal_server.rs
@@ -1,44 +1,27 @@
 //! HTTP server of the readiness check, the metrics, and the configuration for peers.
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{convert::Infallible, rc::Rc};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use ingress::{Connection, Connections, INTERNAL_BUFFER_BYTES};
+use ingress::{Accepted, Connection, Connections, INTERNAL_BUFFER_BYTES, Listener};
 use log::warn;
-use telemetry::Occasional;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{config_fetch, state::Gateway};
 
-/// Delay after a connection could not be accepted, ms.
-const ACCEPT_PAUSE_MS: u64 = 50;
-
 /// Serves `listener` for as long as the process runs.
 pub(crate) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     let open_max = gateway.shares.internal_connections();
     let connections = Connections::new(open_max, gateway.clock.clone());
-    let failures = Occasional::default();
+    let mut listener = Listener::new("probe", listener, connections);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                // Nothing is in progress for long, so there is always one to replace.
-                if let Some(place) = connections.admit() {
-                    let serving = serve_one(gateway.clone(), stream, place);
-                    tokio::task::spawn_local(serving);
-                }
-            }
-            Err(err) => {
-                if let Some(count) = failures.due(gateway.now()) {
-                    warn!(
-                        "event=accept_failed listener=probe count={count} reason=\"{err}\""
-                    );
-                }
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-            }
+        // Nothing is in progress for long, so there is always one to replace.
+        if let Accepted::Admitted { stream, place, .. } = listener.accept().await {
+            tokio::task::spawn_local(serve_one(gateway.clone(), stream, place));
         }
     }
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection_table;
 mod connections;
 mod discard;
+mod listener;
 mod shares;
 
 pub use account::{BodyAccount, BodyId, BodyStart, NoRoom};
@@ -17,4 +18,5 @@
 pub use connection_table::{Admission, ConnectionId, ConnectionTable};
 pub use connections::{Connection, Connections};
 pub use discard::discard;
+pub use listener::{Accepted, Listener};
 pub use shares::{INTERNAL_BUFFER_BYTES, InstanceShares, RECEIVE_BUFFER_BYTES};
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -1,13 +1,12 @@
 //! Server side of the RPC.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use capnp::Error;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::AsyncReadExt;
-use ingress::{Connection, Connections};
-use log::{debug, warn};
-use telemetry::Occasional;
+use ingress::{Accepted, Connection, Connections, Listener};
+use log::debug;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -16,9 +15,6 @@
     peer_stream::PeerStream, wire_capnp,
 };
 
-/// Delay after a connection could not be accepted, ms.
-const ACCEPT_PAUSE_MS: u64 = 50;
-
 /// Calls that every process handles.
 #[allow(async_fn_in_trait)]
 pub trait PeerHandler {
@@ -224,31 +220,11 @@
     bootstrap: capnp::capability::Client,
     connections: Connections,
 ) {
-    let (failures, rejections) = (Occasional::default(), Occasional::default());
+    let mut listener = Listener::new("peers", listener, connections);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => match connections.admit() {
-                Some(place) => {
-                    let serving = serve_stream(stream, place, bootstrap.clone());
-                    tokio::task::spawn_local(serving);
-                }
-                None => {
-                    if let Some(count) = rejections.due(connections.now()) {
-                        let open = connections.open();
-                        warn!(
-                            "event=connection_rejected listener=peers count={count} connections={open}"
-                        );
-                    }
-                }
-            },
-            Err(err) => {
-                if let Some(count) = failures.due(connections.now()) {
-                    warn!(
-                        "event=accept_failed listener=peers count={count} reason=\"{err}\""
-                    );
-                }
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-            }
+        if let Accepted::Admitted { stream, place, .. } = listener.accept().await {
+            let serving = serve_stream(stream, place, bootstrap.clone());
+            tokio::task::spawn_local(serving);
         }
     }
 }
