Observe sockets and tell holders to give way in one place

A gateway's callers and the peers of the RPC had a copy of the same wrapper of a socket, bodies and connections one of the same map of holders to notify. They are now ingress::ObservedStream and ingress::Evictions. An entry's callers are observed in the same way, so that a slow head counts as heard.

--- a/crates/entry/src/caller_server.rs
+++ b/crates/entry/src/caller_server.rs
@@ -14,7 +14,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use ingress::{Accepted, Connection, Listener};
+use ingress::{Accepted, Connection, Listener, ObservedStream, StreamObserver};
 use log::info;
 use motore::service::Service;
 use tokio::{
@@ -101,6 +101,15 @@
     }
 }
 
+/// Tells a caller's place among the open connections what it does.
+struct CallerObserver(Arc<Connection>);
+
+impl StreamObserver for CallerObserver {
+    fn bytes_received(&self) {
+        self.0.heard();
+    }
+}
+
 async fn serve_one(
     server: Arc<Server>,
     stream: TcpStream,
@@ -108,6 +117,7 @@
     place: Connection,
 ) {
     let place = Arc::new(place);
+    let stream = ObservedStream::new(stream, CallerObserver(place.clone()));
     let answer = service_fn({
         let (server, place) = (server.clone(), place.clone());
         move |request| answer(server.clone(), peer, place.clone(), request)
@@ -197,10 +207,9 @@
         };
         let frame = Pin::new(body).poll_frame(cx);
         match &frame {
-            Poll::Ready(Some(Ok(_))) => self.place.heard(),
             Poll::Ready(Some(Err(_))) => self.body = None,
             Poll::Ready(None) => self.ended(),
-            Poll::Pending => {}
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         frame
     }
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -4,7 +4,7 @@
 
 use catalog::Limits;
 use clock::Millis;
-use ingress::Connection;
+use ingress::{Connection, StreamObserver};
 
 use crate::state::Gateway;
 
@@ -86,15 +86,6 @@
         Discarding(self.clone())
     }
 
-    /// Records that the caller sent something.
-    pub fn bytes_received(&self) {
-        self.place.heard();
-        let is_body = self.busy.get() || self.discarding.get();
-        if !is_body && self.head_since.get().is_none() {
-            self.head_since.set(Some(self.gateway.now()));
-        }
-    }
-
     /// Decides whether the connection stays open.
     pub fn check(&self, limits: &Limits) -> Check {
         let now = self.gateway.now();
@@ -127,6 +118,16 @@
     }
 }
 
+impl StreamObserver for ConnectionState {
+    fn bytes_received(&self) {
+        self.place.heard();
+        let is_body = self.busy.get() || self.discarding.get();
+        if !is_body && self.head_since.get().is_none() {
+            self.head_since.set(Some(self.gateway.now()));
+        }
+    }
+}
+
 impl Drop for ConnectionState {
     fn drop(&mut self) {
         self.request_ended();
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -2,20 +2,18 @@
 
 use std::{
     convert::Infallible,
-    io,
     pin::{Pin, pin},
     rc::Rc,
-    task::{Context, Poll},
     time::Duration,
 };
 
 use http::Request;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use ingress::{Accepted, Listener};
+use ingress::{Accepted, Listener, ObservedStream};
 use log::{info, warn};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
 };
 
@@ -44,63 +42,6 @@
 const HEAD_TOO_SLOW: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// A caller's socket that records when bytes arrive.
-struct CallerStream {
-    stream: TcpStream,
-    state: Rc<ConnectionState>,
-}
-
-impl AsyncRead for CallerStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.state.bytes_received();
-        }
-        read
-    }
-}
-
-impl AsyncWrite for CallerStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 /// Accepts callers' connections until another gateway takes them over; see
 /// [`route::StoppingGateway`].
 pub(crate) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
@@ -151,10 +92,7 @@
             }
         })
     };
-    let io = TokioIo::new(CallerStream {
-        stream,
-        state: state.clone(),
-    });
+    let io = TokioIo::new(ObservedStream::new(stream, state.clone()));
     let head_max = limits.head_max_bytes + HEAD_SLACK_BYTES;
     let mut connection = http1::Builder::new()
         .auto_date_header(false)
@@ -179,7 +117,7 @@
             Check::HeadTooSlow => {
                 info!("event=head_too_slow");
                 gateway.stats.count("refused", "head_too_slow");
-                let mut stream = connection.into_parts().io.into_inner().stream;
+                let mut stream = connection.into_parts().io.into_inner().into_inner();
                 // Ignored: the caller may have closed the connection.
                 let _ = stream.write_all(HEAD_TOO_SLOW).await;
                 return;
--- a/crates/ingress/src/bodies.rs
+++ b/crates/ingress/src/bodies.rs
@@ -1,7 +1,6 @@
 //! Reads bodies within what the process may hold.
 
 use std::{
-    collections::HashMap,
     ops::Deref,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -17,6 +16,7 @@
 use crate::{
     BodyAccount, BodyError, BodyId, BodyStart,
     body::{BodyBuffer, declared_len},
+    evictions::Evictions,
 };
 
 /// Why a body is not held.
@@ -44,19 +44,7 @@
 #[derive(Debug)]
 struct Shared {
     account: BodyAccount,
-    /// Notified when the body has to give way.
-    evictions: HashMap<BodyId, Arc<Notify>>,
-}
-
-impl Shared {
-    /// Tells bodies that they are no longer in the account.
-    fn evict(&mut self, victims: &[BodyId]) {
-        for victim in victims {
-            if let Some(eviction) = self.evictions.remove(victim) {
-                eviction.notify_one();
-            }
-        }
-    }
+    evictions: Evictions<BodyId>,
 }
 
 impl Bodies {
@@ -64,7 +52,7 @@
     pub fn new(bound_bytes: u64, clock: SystemClock) -> Self {
         let shared = Shared {
             account: BodyAccount::new(bound_bytes),
-            evictions: HashMap::new(),
+            evictions: Evictions::default(),
         };
         Bodies {
             shared: Arc::new(Mutex::new(shared)),
@@ -119,10 +107,9 @@
     }
 
     fn open(&self, start: BodyStart) -> Reservation {
-        let eviction = Arc::new(Notify::new());
         let mut shared = self.lock();
         let id = shared.account.open(start);
-        shared.evictions.insert(id, eviction.clone());
+        let eviction = shared.evictions.add(id);
         Reservation {
             bodies: self.clone(),
             id,
@@ -147,7 +134,7 @@
     fn drop(&mut self) {
         let mut shared = self.bodies.lock();
         shared.account.close(self.id);
-        shared.evictions.remove(&self.id);
+        shared.evictions.remove(self.id);
     }
 }
 
@@ -186,7 +173,7 @@
         let mut shared = self.bodies.lock();
         let reserved = shared.account.reserve(self.id, capacity as u64, now);
         let victims = reserved.map_err(|_| ReadError::NoRoom)?;
-        shared.evict(&victims);
+        shared.evictions.evict(&victims);
         Ok(())
     }
 
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -1,14 +1,11 @@
 //! The open connections of a listener, shared by the tasks that serve them.
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use clock::{Clock, Millis, SystemClock};
 use tokio::sync::Notify;
 
-use crate::{Admission, ConnectionId, ConnectionTable};
+use crate::{Admission, ConnectionId, ConnectionTable, evictions::Evictions};
 
 /// The open connections of a listener; clones share them.
 #[derive(Clone, Debug)]
@@ -20,19 +17,7 @@
 #[derive(Debug)]
 struct Shared {
     table: ConnectionTable,
-    /// Notified when the connection has to be closed.
-    evictions: HashMap<ConnectionId, Arc<Notify>>,
-}
-
-impl Shared {
-    /// Tells connections that they are no longer in the table.
-    fn evict(&mut self, victims: &[ConnectionId]) {
-        for victim in victims {
-            if let Some(eviction) = self.evictions.remove(victim) {
-                eviction.notify_one();
-            }
-        }
-    }
+    evictions: Evictions<ConnectionId>,
 }
 
 impl Connections {
@@ -40,7 +25,7 @@
     pub fn new(open_max: usize, clock: SystemClock) -> Self {
         let shared = Shared {
             table: ConnectionTable::new(open_max),
-            evictions: HashMap::new(),
+            evictions: Evictions::default(),
         };
         Connections {
             shared: Arc::new(Mutex::new(shared)),
@@ -71,13 +56,12 @@
         let id = match shared.table.admit(now) {
             Admission::Admitted(id) => id,
             Admission::Replaced(id, victims) => {
-                shared.evict(&victims);
+                shared.evictions.evict(&victims);
                 id
             }
             Admission::Rejected => return None,
         };
-        let eviction = Arc::new(Notify::new());
-        shared.evictions.insert(id, eviction.clone());
+        let eviction = shared.evictions.add(id);
         Some(Connection {
             connections: self.clone(),
             id,
@@ -126,6 +110,6 @@
     fn drop(&mut self) {
         let mut shared = self.connections.lock();
         shared.table.close(self.id);
-        shared.evictions.remove(&self.id);
+        shared.evictions.remove(self.id);
     }
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -9,7 +9,9 @@
 mod connection_table;
 mod connections;
 mod discard;
+mod evictions;
 mod listener;
+mod observed_stream;
 mod shares;
 
 pub use account::{BodyAccount, BodyId, BodyStart, NoRoom};
@@ -19,4 +21,5 @@
 pub use connections::{Connection, Connections};
 pub use discard::discard;
 pub use listener::{Accepted, Listener};
+pub use observed_stream::{ObservedStream, StreamObserver};
 pub use shares::{INTERNAL_BUFFER_BYTES, InstanceShares, RECEIVE_BUFFER_BYTES};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,6 @@
 mod convert;
 mod hub;
 pub mod message;
-mod peer_stream;
 mod serve;
 #[allow(missing_docs, clippy::all, unused_qualifications)]
 #[rustfmt::skip]
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -5,14 +5,15 @@
 use capnp::Error;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::AsyncReadExt;
-use ingress::{Accepted, Connection, Connections, Listener};
+use ingress::{
+    Accepted, Connection, Connections, Listener, ObservedStream, StreamObserver,
+};
 use log::debug;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::{
-    AttemptId, AttemptState, Dispatch, Frame, Hello, Verdict, convert,
-    peer_stream::PeerStream, wire_capnp,
+    AttemptId, AttemptState, Dispatch, Frame, Hello, Verdict, convert, wire_capnp,
 };
 
 /// Calls that every process handles.
@@ -229,6 +230,22 @@
     }
 }
 
+/// Tells a peer's place among the open connections what it does.
+///
+/// A peer that was answered speaks the protocol, and is silent for long between its calls,
+/// so its connection is not closed for a new one any more.
+struct PeerObserver(Rc<Connection>);
+
+impl StreamObserver for PeerObserver {
+    fn bytes_received(&self) {
+        self.0.heard();
+    }
+
+    fn bytes_sent(&self) {
+        self.0.request_received();
+    }
+}
+
 async fn serve_stream(
     stream: TcpStream,
     place: Connection,
@@ -236,7 +253,7 @@
 ) {
     let _ = stream.set_nodelay(true);
     let place = Rc::new(place);
-    let stream = PeerStream::new(stream, place.clone());
+    let stream = ObservedStream::new(stream, PeerObserver(place.clone()));
     let (reader, writer) = stream.compat().split();
     let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
     let system = RpcSystem::new(Box::new(network), Some(bootstrap));
