--- a/crates/ingress/src/account.rs
+++ b/crates/ingress/src/account.rs
@@ -1,6 +1,6 @@
 //! Decides which bodies may be held, out of a fixed number of bytes.
 //!
-//! The load pattern is a crowd of clients that send as much as each of them may, or stop
+//! The load pattern is many clients that send as much as each of them may, or stop
 //! short and stay. What they hold together must stay bounded, and they must not keep
 //! others out: a part of the bytes is only for short bodies, and room is made at the cost
 //! of bodies that are not going to arrive.
--- a/crates/ingress/src/connection_table.rs
+++ b/crates/ingress/src/connection_table.rs
@@ -1,6 +1,6 @@
 //! Decides which connections of callers stay open.
 //!
-//! The load pattern is a crowd of clients that open connections and stay, with as much of
+//! The load pattern is many clients that open connections and stay, with as much of
 //! a request as each has sent. The descriptors that they take are missing for ordinary
 //! callers, and for the way to endpoints, the log and peers. A connection on which the
 //! process waits for its caller can be closed without harm to any request that has run,
--- a/tests/body_account.rs
+++ b/tests/body_account.rs
@@ -97,7 +97,7 @@
 }
 
 #[test]
-fn crowd_of_short_bodies_gives_way_to_a_short_one_first() {
+fn short_body_that_is_silent_gives_way_to_a_short_one_first() {
     let mut account = BodyAccount::new(BOUND_BYTES);
     while open(&mut account, SHORT_BYTES).is_ok() {}
     let now = START.plus(100);
--- a/tests/clients/bodies.rs
+++ b/tests/clients/bodies.rs
@@ -13,16 +13,16 @@
     ALONE,
     gateway::{BODY_MAX_BYTES, Fixture, chunked_head, sized_head},
     util::{
-        crowd::{Crowd, chunks},
+        client_group::{ClientGroup, chunks},
         gateway_harness::{Reply, read_reply, send_bytes},
     },
 };
 
-/// Clients of a crowd that sends bodies of the largest size.
-const LARGE_CROWD: usize = 40;
+/// Clients of a group that sends bodies of the largest size.
+const LARGE_CLIENTS: usize = 40;
 
-/// Clients of a crowd that sends bodies of which each byte is a chunk.
-const TINY_CHUNKS_CROWD: usize = 10;
+/// Clients of a group that sends bodies of which each byte is a chunk.
+const TINY_CHUNKS_CLIENTS: usize = 10;
 
 /// Payload of such a body, bytes.
 const TINY_CHUNKS_BYTES: usize = 400_000;
@@ -45,11 +45,12 @@
     let fixture = Fixture::start().await;
     let head = |id: &str| sized_head("/held/", id, BODY_MAX_BYTES);
     let body = vec![b'd'; BODY_MAX_BYTES];
-    let mut crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    let mut group =
+        ClientGroup::send(fixture.gateway.callers, LARGE_CLIENTS, head, body).await;
     fixture.assert_serves_within_bounds().await;
     fixture
         .deployment
-        .assert_refused_have_not_run(&mut crowd)
+        .assert_refused_have_not_run(&mut group)
         .await;
 }
 
@@ -59,7 +60,8 @@
     let fixture = Fixture::start().await;
     let head = |id: &str| sized_head("/held/", id, BODY_MAX_BYTES);
     let body = vec![b'd'; BODY_MAX_BYTES - 1];
-    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    let _group =
+        ClientGroup::send(fixture.gateway.callers, LARGE_CLIENTS, head, body).await;
     fixture.assert_serves_within_bounds().await;
     assert!(fixture.deployment.held.received().is_empty());
 }
@@ -70,7 +72,8 @@
     let fixture = Fixture::start().await;
     let head = |id: &str| chunked_head("/held/", id);
     let body = chunks(BODY_MAX_BYTES - 1, LARGE_CHUNK_BYTES);
-    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    let _group =
+        ClientGroup::send(fixture.gateway.callers, LARGE_CLIENTS, head, body).await;
     fixture.assert_serves_within_bounds().await;
     assert!(fixture.deployment.held.received().is_empty());
 }
@@ -81,8 +84,9 @@
     let fixture = Fixture::start().await;
     let head = |id: &str| chunked_head("/held/", id);
     let body = chunks(TINY_CHUNKS_BYTES, 1);
-    let _crowd =
-        Crowd::send(fixture.gateway.callers, TINY_CHUNKS_CROWD, head, body).await;
+    let _group =
+        ClientGroup::send(fixture.gateway.callers, TINY_CHUNKS_CLIENTS, head, body)
+            .await;
     fixture.assert_serves_within_bounds().await;
     assert!(fixture.deployment.held.received().is_empty());
 }
@@ -93,7 +97,8 @@
     let fixture = Fixture::start().await;
     let head = |id: &str| sized_head("/held/", id, FAR_OVER_LIMIT_BYTES);
     let body = vec![b'd'; FAR_OVER_LIMIT_BYTES];
-    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    let _group =
+        ClientGroup::send(fixture.gateway.callers, LARGE_CLIENTS, head, body).await;
     fixture.assert_serves_within_bounds().await;
     assert!(fixture.deployment.held.received().is_empty());
 }
@@ -104,7 +109,8 @@
     let fixture = Fixture::start().await;
     let head = |id: &str| chunked_head("/held/", id);
     let body = chunks(FAR_OVER_LIMIT_BYTES, LARGE_CHUNK_BYTES);
-    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    let _group =
+        ClientGroup::send(fixture.gateway.callers, LARGE_CLIENTS, head, body).await;
     fixture.assert_serves_within_bounds().await;
     assert!(fixture.deployment.held.received().is_empty());
 }
@@ -117,12 +123,13 @@
     let head =
         |id: &str| sized_head("/held/", id, BODY_MAX_BYTES).replace("key-a", "unknown");
     let body = vec![b'd'; BODY_MAX_BYTES - 1];
-    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, body).await;
+    let _group =
+        ClientGroup::send(fixture.gateway.callers, LARGE_CLIENTS, head, body).await;
     fixture.assert_serves_within_bounds().await;
     assert!(fixture.deployment.held.received().is_empty());
 }
 
-/// A crowd that stops short must not keep out a large body that arrives, if its client
+/// Bodies that stop short must not keep out a large body that arrives, if its client
 /// comes back as it is told.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn largest_body_is_served_beside_bodies_that_stop_short() {
@@ -131,7 +138,8 @@
     let head = |id: &str| sized_head("/slow/", id, BODY_MAX_BYTES);
     let payload = vec![b'd'; BODY_MAX_BYTES];
     let short = payload[1..].to_vec();
-    let _crowd = Crowd::send(fixture.gateway.callers, LARGE_CROWD, head, short).await;
+    let _group =
+        ClientGroup::send(fixture.gateway.callers, LARGE_CLIENTS, head, short).await;
     let mut whole = sized_head("/once/", "s1", BODY_MAX_BYTES).into_bytes();
     whole.extend_from_slice(&payload);
     let mut reply = send_bytes(fixture.gateway.callers, &whole).await;
@@ -184,9 +192,9 @@
     let _alone = ALONE.lock().await;
     let fixture = Fixture::start().await;
     let head = |id: &str| sized_head("/held/", id, 1_000);
-    let mut crowd =
-        Crowd::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
-    for client in &mut crowd.clients {
+    let mut group =
+        ClientGroup::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
+    for client in &mut group.clients {
         let reply = client.reply().await;
         assert_eq!(reply.status, 408, "{reply:?}");
     }
@@ -199,7 +207,8 @@
     let _alone = ALONE.lock().await;
     let mut fixture = Fixture::start().await;
     let head = |id: &str| sized_head("/held/", id, 1_000);
-    let _crowd = Crowd::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
+    let _group =
+        ClientGroup::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
     fixture.gateway.signal(Signal::TERM);
     assert!(fixture.gateway.wait_exit().await);
 }
@@ -211,10 +220,10 @@
     let _alone = ALONE.lock().await;
     let mut fixture = Fixture::start().await;
     let head = |id: &str| sized_head("/slow/", id, 1_000);
-    let mut crowd =
-        Crowd::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
+    let mut group =
+        ClientGroup::send(fixture.gateway.callers, 4, head, vec![b'd'; 999]).await;
     fixture.gateway.signal(Signal::TERM);
-    for client in &mut crowd.clients {
+    for client in &mut group.clients {
         let reply = client.reply().await;
         assert_eq!(reply.status, 503, "{reply:?}");
     }
@@ -229,12 +238,12 @@
     let head = |id: &str| chunked_head("/slow/", id);
     let half = chunks(BODY_MAX_BYTES / 2, LARGE_CHUNK_BYTES);
     let callers = fixture.gateway.callers;
-    let _first = Crowd::send(callers, LARGE_CROWD, head, half.clone()).await;
+    let _first = ClientGroup::send(callers, LARGE_CLIENTS, head, half.clone()).await;
     fixture.change_body_max(3, BODY_MAX_BYTES / 4).await;
-    let _second = Crowd::send(callers, LARGE_CROWD, head, half.clone()).await;
+    let _second = ClientGroup::send(callers, LARGE_CLIENTS, head, half.clone()).await;
     fixture.assert_serves_within_bounds().await;
     fixture.change_body_max(4, BODY_MAX_BYTES * 2).await;
-    let _third = Crowd::send(callers, LARGE_CROWD, head, half).await;
+    let _third = ClientGroup::send(callers, LARGE_CLIENTS, head, half).await;
     fixture.assert_serves_within_bounds().await;
 }
 
--- a/tests/clients/connections.rs
+++ b/tests/clients/connections.rs
@@ -3,19 +3,20 @@
 use crate::{
     ALONE,
     gateway::{Fixture, assert_descriptors_left, sized_head},
-    util::crowd::Crowd,
+    util::client_group::ClientGroup,
 };
 
-/// Clients of a crowd that opens more connections than there are descriptors for.
-const CONNECTIONS_CROWD: usize = 500;
+/// Clients of a group that opens more connections than there are descriptors for.
+const CONNECTIONS_CLIENTS: usize = 500;
 
-async fn assert_crowd_is_borne<F>(head: F)
+async fn assert_clients_are_tolerated<F>(head: F)
 where
     F: Fn(&str) -> String,
 {
     let fixture = Fixture::start_with_few_descriptors().await;
     let callers = fixture.gateway.callers;
-    let _crowd = Crowd::send(callers, CONNECTIONS_CROWD, head, Vec::new()).await;
+    let _group =
+        ClientGroup::send(callers, CONNECTIONS_CLIENTS, head, Vec::new()).await;
     fixture.assert_serves_within_bounds().await;
     assert_descriptors_left(&fixture.gateway);
 }
@@ -27,12 +28,13 @@
     let _alone = ALONE.lock().await;
     let fixture = Fixture::start_with_few_descriptors().await;
     let gateway = &fixture.gateway;
-    let mut crowds = Vec::new();
+    let mut groups = Vec::new();
     for listener in [gateway.ready, gateway.metrics, gateway.peer_address] {
         let head = |_: &str| "GET / HTTP/1.1\r\nx-padding: ".into();
         let padding = vec![b'x'; 2_000];
-        let crowd = Crowd::send(listener, CONNECTIONS_CROWD, head, padding).await;
-        crowds.push(crowd);
+        let group =
+            ClientGroup::send(listener, CONNECTIONS_CLIENTS, head, padding).await;
+        groups.push(group);
         fixture.assert_serves_within_bounds().await;
         assert_descriptors_left(&fixture.gateway);
     }
@@ -41,14 +43,14 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_connections_leave_descriptors() {
     let _alone = ALONE.lock().await;
-    assert_crowd_is_borne(|_| String::new()).await;
+    assert_clients_are_tolerated(|_| String::new()).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_with_a_part_of_a_head_leave_descriptors() {
     let _alone = ALONE.lock().await;
     let field = "x".repeat(2_000);
-    assert_crowd_is_borne(|id| {
+    assert_clients_are_tolerated(|id| {
         format!("POST /held/ HTTP/1.1\r\nx-request-id: {id}\r\nx-padding: {field}")
     })
     .await;
@@ -57,5 +59,5 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_with_a_part_of_a_small_body_leave_descriptors() {
     let _alone = ALONE.lock().await;
-    assert_crowd_is_borne(|id| sized_head("/held/", id, 1_000) + "part").await;
+    assert_clients_are_tolerated(|id| sized_head("/held/", id, 1_000) + "part").await;
 }
--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -1,4 +1,4 @@
-//! The same crowds at the entry.
+//! The same groups at the entry.
 
 use admin::{ApplyRequest, OperatorClient};
 use tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinSet};
@@ -6,8 +6,8 @@
 use crate::{
     ALONE, DESCRIPTORS_MAX, DESCRIPTORS_RESERVED,
     util::{
+        client_group::{ClientGroup, chunks},
         cluster::Cluster,
-        crowd::{Crowd, chunks},
         gateway_harness::{read_reply, send},
         process_stats::{descriptors, memory_peak_kib, unread_kib},
         script::Script,
@@ -23,11 +23,11 @@
 /// Largest body that the settings of these tests allow, bytes.
 const BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
 
-/// Clients of a crowd that sends bodies of the largest size.
-const LARGE_CROWD: usize = 48;
+/// Clients of a group that sends bodies of the largest size.
+const LARGE_CLIENTS: usize = 48;
 
-/// Clients of a crowd that sends bodies of which each byte is a chunk.
-const TINY_CHUNKS_CROWD: usize = 20;
+/// Clients of a group that sends bodies of which each byte is a chunk.
+const TINY_CHUNKS_CLIENTS: usize = 20;
 
 /// Payload of such a body, bytes.
 const TINY_CHUNKS_BYTES: usize = 600_000;
@@ -35,8 +35,8 @@
 /// Size of a large chunk, bytes.
 const LARGE_CHUNK_BYTES: usize = 64 * 1024;
 
-/// Clients of a crowd that opens more connections than there are descriptors for.
-const CONNECTIONS_CROWD: usize = 500;
+/// Clients of a group that opens more connections than there are descriptors for.
+const CONNECTIONS_CLIENTS: usize = 500;
 
 async fn start_cluster(descriptors_max: Option<u32>) -> Cluster {
     let mut script = Script::new().await;
@@ -45,7 +45,7 @@
     let settings = &mut cluster.common_settings;
     settings.insert("process.memory_mb".into(), NODE_MEMORY_MB.to_string());
     settings.insert("entry.body_max_bytes".into(), BODY_MAX_BYTES.to_string());
-    // So long that no body ends by it while the crowd is there.
+    // So long that no body ends by it while the clients are there.
     settings.insert("entry.body_timeout_ms".into(), "60000".into());
     for command in [
         "engine big versions=draft@v1",
@@ -71,7 +71,7 @@
 }
 
 /// Checks that the entry lives within its memory and answers an ordinary request.  The
-/// connections of a crowd must still be open.
+/// connections of a group must still be open.
 async fn assert_serves_within_bounds(cluster: &Cluster) {
     let entry = &cluster.daemons["entry-1"];
     let callers = entry.address("callers");
@@ -83,10 +83,10 @@
     assert_eq!(reply.status, 200, "{reply:?}");
 }
 
-async fn assert_crowd_is_borne(count: usize, head: String, body: Vec<u8>) {
+async fn assert_clients_are_tolerated(count: usize, head: String, body: Vec<u8>) {
     let cluster = start_cluster(None).await;
     let callers = cluster.address("entry-1", "callers");
-    let _crowd = Crowd::send(callers, count, |_| head.clone(), body).await;
+    let _group = ClientGroup::send(callers, count, |_| head.clone(), body).await;
     assert_serves_within_bounds(&cluster).await;
     assert!(cluster.engines["big"].state().started.len() <= 1);
 }
@@ -103,8 +103,9 @@
     let body = frame.replace(r#""content":"""#, &format!(r#""content":"{content}""#));
     let callers = cluster.address("entry-1", "callers");
     let head = sized_head(BODY_MAX_BYTES);
-    let _crowd =
-        Crowd::send(callers, LARGE_CROWD, |_| head.clone(), body.into_bytes()).await;
+    let _group =
+        ClientGroup::send(callers, LARGE_CLIENTS, |_| head.clone(), body.into_bytes())
+            .await;
     engine.update_config(|config| config.token_ms = 1);
     assert_serves_within_bounds(&cluster).await;
 }
@@ -113,7 +114,7 @@
 async fn entry_bears_large_bodies_that_stop_short() {
     let _alone = ALONE.lock().await;
     let body = vec![b'd'; BODY_MAX_BYTES - 1];
-    assert_crowd_is_borne(LARGE_CROWD, sized_head(BODY_MAX_BYTES), body).await;
+    assert_clients_are_tolerated(LARGE_CLIENTS, sized_head(BODY_MAX_BYTES), body).await;
 }
 
 /// A connection that is closed with bytes unread is reset, and its client may not get to
@@ -142,7 +143,7 @@
     let _alone = ALONE.lock().await;
     let body = chunks(BODY_MAX_BYTES - 1, LARGE_CHUNK_BYTES);
     let head = head("transfer-encoding: chunked\r\n");
-    assert_crowd_is_borne(LARGE_CROWD, head, body).await;
+    assert_clients_are_tolerated(LARGE_CLIENTS, head, body).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -150,14 +151,14 @@
     let _alone = ALONE.lock().await;
     let body = chunks(TINY_CHUNKS_BYTES, 1);
     let head = head("transfer-encoding: chunked\r\n");
-    assert_crowd_is_borne(TINY_CHUNKS_CROWD, head, body).await;
+    assert_clients_are_tolerated(TINY_CHUNKS_CLIENTS, head, body).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_bears_bodies_over_the_limit() {
     let _alone = ALONE.lock().await;
     let len = 4 * BODY_MAX_BYTES;
-    assert_crowd_is_borne(LARGE_CROWD, sized_head(len), vec![b'd'; len]).await;
+    assert_clients_are_tolerated(LARGE_CLIENTS, sized_head(len), vec![b'd'; len]).await;
 }
 
 /// Checks the number of open descriptors of a daemon, of which some are reserved for files.
@@ -168,11 +169,12 @@
 }
 
 /// Opens more connections than there are descriptors for; each sends `head`.
-async fn assert_connections_are_borne(daemon: &str, listener: &str, head: &str) {
+async fn assert_connections_are_tolerated(daemon: &str, listener: &str, head: &str) {
     let cluster = start_cluster(Some(DESCRIPTORS_MAX)).await;
     let address = cluster.address(daemon, listener);
-    let _crowd =
-        Crowd::send(address, CONNECTIONS_CROWD, |_| head.into(), Vec::new()).await;
+    let _group =
+        ClientGroup::send(address, CONNECTIONS_CLIENTS, |_| head.into(), Vec::new())
+            .await;
     assert_serves_within_bounds(&cluster).await;
     assert_descriptors_left(&cluster, daemon);
 }
@@ -180,25 +182,25 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_bears_more_connections_than_it_has_descriptors() {
     let _alone = ALONE.lock().await;
-    assert_connections_are_borne("entry-1", "callers", "POST").await;
+    assert_connections_are_tolerated("entry-1", "callers", "POST").await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_bears_connections_to_its_peer_listener() {
     let _alone = ALONE.lock().await;
-    assert_connections_are_borne("entry-1", "peers", "POST").await;
+    assert_connections_are_tolerated("entry-1", "peers", "POST").await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_bears_connections_to_its_operators_listener() {
     let _alone = ALONE.lock().await;
-    assert_connections_are_borne("entry-1", "operators", "").await;
+    assert_connections_are_tolerated("entry-1", "operators", "").await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn agent_bears_connections_to_its_peer_listener() {
     let _alone = ALONE.lock().await;
-    assert_connections_are_borne("agent-1", "peers", "POST").await;
+    assert_connections_are_tolerated("agent-1", "peers", "POST").await;
 }
 
 /// The operators' interface is on the same process; a message must be bounded before its
@@ -209,7 +211,7 @@
     let cluster = start_cluster(None).await;
     let operators = cluster.address("entry-1", "operators");
     let mut sending = JoinSet::new();
-    for _ in 0..LARGE_CROWD {
+    for _ in 0..LARGE_CLIENTS {
         sending.spawn(async move {
             let client = OperatorClient::new(operators, "unknown", 20_000);
             let message = ApplyRequest {
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -5,7 +5,7 @@
 use crate::{
     DESCRIPTORS_MAX, DESCRIPTORS_RESERVED, MEMORY_MAX_KIB, MEMORY_MB,
     util::{
-        crowd::Crowd,
+        client_group::ClientGroup,
         gateway_harness::{
             GatewayOptions, GatewayProcess, Reply, TestPlatform, configuration_with,
             request, send,
@@ -84,9 +84,9 @@
     }
 
     /// Checks that no request ran whose answer says that it did not; reads the answers.
-    pub async fn assert_refused_have_not_run(&self, crowd: &mut Crowd) {
+    pub async fn assert_refused_have_not_run(&self, group: &mut ClientGroup) {
         let mut refused = Vec::new();
-        for client in &mut crowd.clients {
+        for client in &mut group.clients {
             let reply = client.reply().await;
             if NOT_RUN.contains(&reply.status) {
                 refused.push(client.request_id());
@@ -158,7 +158,7 @@
 
     /// Checks that the process lives within its machine and serves an ordinary request.
     ///
-    /// The connections of a crowd must still be open.
+    /// The connections of a group must still be open.
     pub async fn assert_serves_within_bounds(&self) {
         assert_within_memory(&self.gateway);
         let reply = send_ordinary(&self.gateway, "ordinary").await;
--- a/tests/clients/soak.rs
+++ b/tests/clients/soak.rs
@@ -1,4 +1,4 @@
-//! Crowds that overlap with signals, restarts and changes, in a random order by seed.
+//! ClientGroups that overlap with signals, restarts and changes, in a random order by seed.
 //!
 //! `CURRANTBANK_SEED` replays one seed; `CURRANTBANK_SOAK_SEEDS` sets how many are played,
 //! and `CURRANTBANK_SOAK_GATEWAYS` how many processes there are.
@@ -15,7 +15,7 @@
         chunked_head, send_ordinary, sized_head,
     },
     util::{
-        crowd::{Crowd, chunks},
+        client_group::{ClientGroup, chunks},
         gateway_harness::GatewayProcess,
     },
 };
@@ -38,7 +38,7 @@
 /// Length of a freeze.
 const FREEZE: Duration = Duration::from_millis(700);
 
-/// What the clients of a crowd send.
+/// What the clients of a group send.
 #[derive(Clone, Copy, Debug)]
 enum Behavior {
     Whole,
@@ -94,7 +94,7 @@
     }
 
     /// Range of the number of clients.
-    fn crowd(self) -> std::ops::Range<usize> {
+    fn client_count(self) -> std::ops::Range<usize> {
         match self {
             Behavior::PartOfHead | Behavior::Nothing => 100..300,
             _ => 5..30,
@@ -102,7 +102,7 @@
     }
 }
 
-/// What happens beside the crowd of a step.
+/// What happens beside the clients of a step.
 #[derive(Clone, Copy, Debug)]
 enum Event {
     None,
@@ -128,7 +128,7 @@
     deployment: Deployment,
     gateways: Vec<GatewayProcess>,
     /// Kept open until the end, whatever becomes of their processes.
-    crowds: Vec<Crowd>,
+    groups: Vec<ClientGroup>,
     version: u64,
 }
 
@@ -144,7 +144,7 @@
             rng: StdRng::seed_from_u64(seed),
             deployment,
             gateways,
-            crowds: Vec::new(),
+            groups: Vec::new(),
             version: 2,
         }
     }
@@ -155,19 +155,24 @@
             let event = EVENTS[self.rng.random_range(0..EVENTS.len())];
             let index = self.rng.random_range(0..self.gateways.len());
             println!(
-                "seed={} step={step} gateway={index} crowd={behavior:?} event={event:?}",
+                "seed={} step={step} gateway={index} clients={behavior:?} event={event:?}",
                 self.seed
             );
-            let count = self.rng.random_range(behavior.crowd());
+            let count = self.rng.random_range(behavior.client_count());
             let address = self.gateways[index].callers;
             let sending = tokio::spawn(async move {
-                Crowd::send(address, count, |id| behavior.head(id), behavior.body())
-                    .await
+                ClientGroup::send(
+                    address,
+                    count,
+                    |id| behavior.head(id),
+                    behavior.body(),
+                )
+                .await
             });
             let pause = Duration::from_millis(self.rng.random_range(0..400));
             tokio::time::sleep(pause).await;
             self.play(event, index).await;
-            self.crowds.push(sending.await.expect("the crowd is sent"));
+            self.groups.push(sending.await.expect("the clients end"));
             self.check().await;
         }
     }
@@ -233,7 +238,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn soak_of_crowds_signals_and_changes() {
+async fn soak_of_clients_signals_and_changes() {
     let _alone = ALONE.lock().await;
     let gateways = env_number("CURRANTBANK_SOAK_GATEWAYS").unwrap_or(GATEWAYS);
     let seeds = match env_number("CURRANTBANK_SEED") {
--- a/tests/util/crowd.rs
+++ b/tests/util/client_group.rs
@@ -12,7 +12,7 @@
 /// Time without progress after which a client sends nothing more.
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Interval of looks at what the kernel holds of the crowd's bytes.
+/// Interval of looks at what the kernel holds of the group's bytes.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Number of looks without a change after which nothing more is read.
@@ -21,7 +21,7 @@
 /// Bytes that a client writes at a time.
 const WRITE_BYTES: usize = 64 * 1024;
 
-/// One client of a crowd, with its open connection.
+/// One client of a group, with its open connection.
 #[derive(Debug)]
 pub struct Client {
     /// Its number; the request that it sent has the id `c` and this number.
@@ -47,11 +47,11 @@
 
 /// Clients whose connections are open until it is dropped.
 #[derive(Debug, Default)]
-pub struct Crowd {
+pub struct ClientGroup {
     pub clients: Vec<Client>,
 }
 
-impl Crowd {
+impl ClientGroup {
     /// Connects `count` clients at once; each sends the head for its request id, then
     /// `body`, until it has sent everything, its connection is closed, or nothing more is
     /// taken.
@@ -60,7 +60,7 @@
         count: usize,
         head: F,
         body: Vec<u8>,
-    ) -> Crowd
+    ) -> ClientGroup
     where
         F: Fn(&str) -> String,
     {
@@ -70,13 +70,13 @@
             let head = head(&request_id(number));
             sending.spawn(send_one(address, number, head, body.clone()));
         }
-        let mut crowd = Crowd::default();
+        let mut group = ClientGroup::default();
         while let Some(sent) = sending.join_next().await {
-            crowd.clients.extend(sent.expect("the client ends"));
+            group.clients.extend(sent.expect("the client ends"));
         }
-        crowd.clients.sort_by_key(|client| client.number);
+        group.clients.sort_by_key(|client| client.number);
         wait_settled(address).await;
-        crowd
+        group
     }
 }
 
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -1,9 +1,9 @@
 //! Helpers shared by the integration tests.
 
 pub mod caller;
+pub mod client_group;
 pub mod cluster;
 pub mod crash_fleet;
-pub mod crowd;
 pub mod datagram_path;
 pub mod endpoints;
 pub mod gateway_harness;
