Refuse a body that had to give way just before its end arrived

A body that was evicted and whose last part arrived in the same turn was held without a place in the account. The account now tells whether a whole body is still in it; one that is not is refused like any other that gave way.

--- a/crates/ingress/src/account.rs
+++ b/crates/ingress/src/account.rs
@@ -49,7 +49,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct HeldBody {
+struct AccountedBody {
     start: BodyStart,
     reserved_bytes: u64,
     received_bytes: u64,
@@ -57,7 +57,7 @@
     is_complete: bool,
 }
 
-impl HeldBody {
+impl AccountedBody {
     fn is_long(&self) -> bool {
         self.reserved_bytes > SHORT_BODY_BYTES
     }
@@ -96,7 +96,7 @@
     }
 
     /// Takes off what `body` gives back.
-    fn reduce(&mut self, body: &HeldBody) {
+    fn reduce(&mut self, body: &AccountedBody) {
         let freed = body.reserved_bytes;
         self.total_bytes = self.total_bytes.saturating_sub(freed);
         if body.is_long() {
@@ -111,7 +111,7 @@
 #[derive(Debug)]
 pub struct BodyAccount {
     bound_bytes: u64,
-    bodies: BTreeMap<BodyId, HeldBody>,
+    bodies: BTreeMap<BodyId, AccountedBody>,
     next_id: u64,
 }
 
@@ -140,7 +140,7 @@
     pub fn open(&mut self, start: BodyStart) -> BodyId {
         let id = BodyId(self.next_id);
         self.next_id += 1;
-        let body = HeldBody {
+        let body = AccountedBody {
             start,
             reserved_bytes: 0,
             received_bytes: 0,
@@ -238,11 +238,14 @@
         }
     }
 
-    /// Records that a body arrived as a whole; it is held until it is closed.
-    pub fn complete(&mut self, id: BodyId) {
-        if let Some(body) = self.bodies.get_mut(&id) {
+    /// Records that a body arrived as a whole; it is held until it is closed. Returns
+    /// whether it is still in the account.
+    pub fn complete(&mut self, id: BodyId) -> bool {
+        let body = self.bodies.get_mut(&id);
+        body.is_some_and(|body| {
             body.is_complete = true;
-        }
+            true
+        })
     }
 
     /// Gives back what a body holds, if it is still in the account.
--- a/crates/ingress/src/bodies.rs
+++ b/crates/ingress/src/bodies.rs
@@ -48,7 +48,8 @@
 }
 
 impl Bodies {
-    /// Creates an account of `bound_bytes` for all bodies together, read by `clock`.
+    /// Creates an account of `bound_bytes` for all bodies together; `clock` tells how long
+    /// they take.
     pub fn new(bound_bytes: u64, clock: SystemClock) -> Self {
         let shared = Shared {
             account: BodyAccount::new(bound_bytes),
@@ -161,7 +162,10 @@
             buffer.push(&piece, capacity);
             self.received(piece.len());
         }
-        self.bodies.lock().account.complete(self.id);
+        // It may have had to give way just before its end arrived.
+        if !self.bodies.lock().account.complete(self.id) {
+            return Err(ReadError::GaveWay);
+        }
         Ok(HeldBody {
             bytes: buffer.into_bytes(),
             _reservation: Some(self),
--- a/tests/body_account.rs
+++ b/tests/body_account.rs
@@ -72,6 +72,8 @@
     });
     let evicted = account.reserve(id, LONG_BYTES, now);
     assert_eq!(evicted, Ok(vec![ids[0]]));
+    // Its last part may arrive all the same, and must not be taken for a body that is held.
+    assert!(!account.complete(ids[0]));
 }
 
 #[test]
@@ -89,7 +91,7 @@
 fn complete_body_never_gives_way() {
     let (mut account, ids) = full_of_long();
     for id in ids {
-        account.complete(id);
+        assert!(account.complete(id));
     }
     let now = DEADLINE.plus(60_000);
     let id = account.open(start(Some(LONG_BYTES)));
@@ -217,7 +219,7 @@
                 Step::Complete(index) => {
                     if let Some(body) = known.get_mut(index) {
                         body.is_complete = true;
-                        account.complete(body.id);
+                        prop_assert!(account.complete(body.id));
                     }
                 }
                 Step::Close(index) => {
