--- a/crates/entry/src/caller_server.rs
+++ b/crates/entry/src/caller_server.rs
@@ -60,7 +60,9 @@
         () = accept(&server, listener) => {}
         () = drained => {}
     }
-    tokio::time::sleep(Duration::from_millis(IDLE_DRAIN_MS)).await;
+    if entry.connections.open() > 0 {
+        tokio::time::sleep(Duration::from_millis(IDLE_DRAIN_MS)).await;
+    }
     close.send_replace(true);
     let closed = wait_closed(entry);
     let limit = Duration::from_millis(CLOSE_TIMEOUT_MS);
