--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -59,6 +59,9 @@
         send(gateway.callers, &draft(&id)).await;
     }
     gateway.wait_logged("event=retry_denied").await;
+    let short = request("POST", "/once/", "rslow", "x-deadline-ms: 50\r\n", "xy");
+    let reply = send(gateway.callers, short.trim_end_matches('y')).await;
+    assert_eq!(reply.status, 408, "{reply:?}");
 
     let examples: Vec<&str> = OPERATIONS_PAGE
         .lines()
