review: a stream is given up for its runner's silence before another one has it

The gateway drops the only source of a stream after 3.6 s of silence and then finds no other runner, so that the answer ends early around a SIGTERM.

--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,248 @@
+//! Plays a case of the review: `play CASE FOLDER`, from the root of the repository.
+//! Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+
+mod world;
+
+use std::{
+    io::{BufReader, Write},
+    net::TcpStream,
+    path::{Path, PathBuf},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Instant,
+};
+
+use world::*;
+
+/// Key of the only tenant.
+const KEY: &str = "n2ctnfzs989anu6wsjnb";
+
+/// Time from the start of the gateways to the first request, ms: clients begin 10 s
+/// after the machines on the site.
+const LEAD_MS: u64 = 10_000;
+
+/// Publishes a configuration with a route for streams and one for safe requests.
+fn publish(store: &Store, version: u64) {
+    let stream = r#"{"name":"r-stream","host":"ficu95.example","path_prefix":"/lohu930/","kind":"streaming","timeout_ms":12000,"slo_ms":2000,"priority":0,"service":"huvo11a","max_attempts":3,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":1200}"#;
+    let safe = r#"{"name":"r-safe","host":"ficu95.example","path_prefix":"/puxa403/","kind":"safe","timeout_ms":8000,"slo_ms":2000,"priority":2,"service":"wuno96b","max_attempts":2,"public":false}"#;
+    let services = r#"{"name":"huvo11a","health_path":"/healthz","max_conns":370,"protocol":"h1","tls":false},{"name":"wuno96b","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}"#;
+    let limits = r#"{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}"#;
+    let config = format!(
+        r#"{{"version":{version},"routes":[{stream},{safe}],"services":[{services}],"limits":{limits},"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"priority":1}}]}}"#
+    );
+    store.put("keyed.op", "config", &config);
+}
+
+/// Builds a client's request.
+fn request(method: &str, path: &str, id: &str, deadline_ms: u64, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Starts the head of a runner's stream of events.
+fn start_stream(to: &mut TcpStream, id: &str) -> std::io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    to.write_all(head.as_bytes())
+}
+
+/// Sends one event of `len` bytes of data.
+fn send_event(to: &mut TcpStream, number: u64, len: usize) -> std::io::Result<()> {
+    let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(len));
+    to.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+}
+
+fn end_stream(to: &mut TcpStream) -> std::io::Result<()> {
+    to.write_all(b"0\r\n\r\n")
+}
+
+fn count_events(body: &[u8]) -> usize {
+    String::from_utf8_lossy(body).matches("id: ").count()
+}
+
+/// Case: the only runner with room pauses in the middle of a stream, while the machine
+/// that passes it on is stopped by plan.
+fn silence(record: &Record, folder: &Path) -> bool {
+    const EVENTS: u64 = 24;
+    const EVENT_BYTES: usize = 55;
+    const PAUSE_AFTER: u64 = 5;
+    let silent_ms = if has_trouble() { 4_500 } else { 0 };
+    let store = Store::start();
+    publish(&store, 7);
+    let taken: Arc<Mutex<Option<String>>> = Arc::default();
+    let broken_off = Arc::new(AtomicBool::new(false));
+    let mut runners = Vec::new();
+    for name in ["i-7f3a91c2", "i-a90c11d4"] {
+        let (record, taken) = (record.clone(), taken.clone());
+        let broken_off = broken_off.clone();
+        runners.push(Runner::start(&store, "huvo11a", name, 1, move |request, to| {
+            let id = request.header("x-request-id").unwrap_or("").to_owned();
+            let is_first = {
+                let mut taken = taken.lock().unwrap();
+                let is_first = taken.is_none();
+                taken.get_or_insert_with(|| name.to_owned());
+                is_first
+            };
+            let last = request.header("last-event-id").unwrap_or("none").to_owned();
+            if !is_first {
+                record.line(&format!("runner {name}: {id} (Last-Event-Id {last}) gets 503, X-Not-Executed: all slots are taken"));
+                let headers = [("X-Request-Id", id.as_str()), ("X-Not-Executed", "1")];
+                return write_answer(to, "503 Full", &headers, b"");
+            }
+            record.line(&format!("runner {name}: runs {id}"));
+            let run = |to: &mut TcpStream| {
+                start_stream(to, &id)?;
+                for number in 1..=EVENTS {
+                    send_event(to, number, EVENT_BYTES)?;
+                    if number == PAUSE_AFTER {
+                        record.line(&format!("runner {name}: {id} sent event {number}; pauses for {silent_ms} ms"));
+                        pause_ms(silent_ms);
+                    }
+                    pause_ms(60);
+                }
+                end_stream(to)
+            };
+            let ran = run(to);
+            match &ran {
+                Ok(()) => record.line(&format!("runner {name}: {id} sent to its end")),
+                Err(err) => {
+                    broken_off.store(false, Ordering::Relaxed);
+                    record.line(&format!("runner {name}: {id}: the gateway closed the connection: {err}"));
+                }
+            }
+            ran.map(|()| true)
+        }));
+    }
+    let gateways = Gateway::start_all(&store, folder, 2);
+    pause_ms(LEAD_MS);
+    let id = new_id();
+    let mut stream = connect_with(gateways[0].front, 0, 0).unwrap_or_else(|e| cannot_run(&e));
+    let sent = request("POST", "/lohu930/2f", &id, 12_000, "prompt");
+    record.line(&format!("client: sends {id} to {}", gateways[0].name));
+    let _ = stream.write_all(sent.as_bytes());
+    let reader = thread::spawn({
+        let record = record.clone();
+        move || {
+            let seen = read_answer(&mut BufReader::new(stream));
+            record.line(&format!(
+                "client: {id}: status {}, {} events, complete: {} {}",
+                seen.status,
+                count_events(&seen.body),
+                seen.is_complete,
+                seen.reason
+            ));
+            seen
+        }
+    });
+    pause_ms(500);
+    record.line(&format!("platform: SIGTERM to {}, grace 8 s", gateways[0].name));
+    gateways[0].signal(SIGTERM);
+    let seen = reader.join().unwrap_or_default();
+    if taken.lock().unwrap().is_none() {
+        cannot_run(&"no runner got the request");
+    }
+    !(seen.status == 200 && seen.is_complete && count_events(&seen.body) == EVENTS as usize)
+}
+
+/// Case: clients with a small window read slowly, while the machine is stopped by plan.
+fn slow(record: &Record, folder: &Path) -> bool {
+    const CLIENTS: usize = 4;
+    const EVENTS: u64 = 34;
+    const EVENT_BYTES: usize = 200;
+    const RECEIVE_BYTES: i32 = 2_048;
+    let store = Store::start();
+    publish(&store, 7);
+    let mut runners = Vec::new();
+    for name in ["i-7f3a91c2", "i-a90c11d4"] {
+        let record = record.clone();
+        runners.push(Runner::start(&store, "huvo11a", name, 64, move |request, to| {
+            let id = request.header("x-request-id").unwrap_or("").to_owned();
+            let last = request.header("last-event-id").and_then(|id| id.parse().ok());
+            let first = last.unwrap_or(0u64) + 1;
+            record.line(&format!("runner {name}: runs {id} from event {first}"));
+            let run = |to: &mut TcpStream| {
+                start_stream(to, &id)?;
+                for number in first..=EVENTS {
+                    send_event(to, number, EVENT_BYTES)?;
+                    pause_ms(20);
+                }
+                end_stream(to)
+            };
+            let ran = run(to);
+            let end = match &ran {
+                Ok(()) => "sent to its end".to_owned(),
+                Err(err) => format!("the gateway closed the connection: {err}"),
+            };
+            record.line(&format!("runner {name}: {id}: {end}"));
+            ran.map(|()| true)
+        }));
+    }
+    let gateways = Gateway::start_all(&store, folder, 2);
+    pause_ms(LEAD_MS);
+    let mut readers = Vec::new();
+    for _ in 0..CLIENTS {
+        let id = new_id();
+        let front = gateways[0].front;
+        let mut stream =
+            connect_with(front, RECEIVE_BYTES, 1_448).unwrap_or_else(|e| cannot_run(&e));
+        let sent = request("POST", "/lohu930/2f", &id, 12_000, "prompt");
+        record.line(&format!("client: sends {id} to {}", gateways[0].name));
+        let _ = stream.write_all(sent.as_bytes());
+        let record = record.clone();
+        readers.push(thread::spawn(move || {
+            let begun = Instant::now();
+            let reader = SlowReader {
+                stream,
+                bytes: if has_trouble() { 300 } else { 0 },
+                pause_ms: 200,
+            };
+            let seen = read_answer(&mut BufReader::with_capacity(300, reader));
+            record.line(&format!(
+                "client: {id}: status {}, {} events, complete: {} {} after {} ms",
+                seen.status,
+                count_events(&seen.body),
+                seen.is_complete,
+                seen.reason,
+                begun.elapsed().as_millis()
+            ));
+            seen
+        }));
+    }
+    pause_ms(300);
+    record.line(&format!("platform: SIGTERM to {}, grace 8 s", gateways[0].name));
+    gateways[0].signal(SIGTERM);
+    let seen = readers.into_iter().map(|r| r.join().unwrap_or_default());
+    let seen: Vec<Seen> = seen.collect();
+    let whole = |seen: &&Seen| seen.is_complete && count_events(&seen.body) == EVENTS as usize;
+    let complete = seen.iter().filter(whole).count();
+    record.line(&format!("{complete} of {CLIENTS} answers came whole"));
+    complete < CLIENTS
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (args.next(), args.next()) else {
+        cannot_run(&"usage: play CASE FOLDER")
+    };
+    let record = Record::create(&PathBuf::from(&folder).join("record.txt"));
+    let scratch = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    std::fs::create_dir_all(&scratch).unwrap_or_else(|err| cannot_run(&err));
+    let trouble = if has_trouble() { "with" } else { "without" };
+    record.line(&format!("case {case}, {trouble} the disruption"));
+    let is_broken = match case.as_str() {
+        "silence" => silence(&record, &scratch),
+        "slow" => slow(&record, &scratch),
+        _ => cannot_run(&format!("there is no case {case}")),
+    };
+    if std::env::var_os("KEEP_LOGS").is_none() {
+        let _ = std::fs::remove_dir_all(&scratch);
+    }
+    record.line(if is_broken { "the rule was broken" } else { "the rule held" });
+    std::process::exit(i32::from(is_broken));
+}
