review: slow readers of long answers fill the memory

Answers are buffered whole, and nothing bounds them together: about 50 clients that read 2 MB slowly take the process over its 110 MB.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod world;
 
 use std::{
+    collections::HashSet,
     io::{BufReader, Write},
     net::TcpStream,
     path::{Path, PathBuf},
@@ -225,6 +226,193 @@
     complete < CLIENTS
 }
 
+/// Case: clients read long answers slowly, and the platform kills a process that exceeds
+/// its memory.
+fn memory(record: &Record, folder: &Path) -> bool {
+    const READERS: u64 = 150;
+    const ANSWER_BYTES: usize = 2_000_000;
+    const READER_INTERVAL_MS: u64 = 50;
+    const OTHERS: usize = 8;
+    const MEMORY_MB: f64 = 110.0;
+    let store = Store::start();
+    publish(&store, 7);
+    let arrived: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let mut runners = Vec::new();
+    for name in ["i-5be0a1f0", "i-77c2d9e4", "i-c4410f3a"] {
+        let arrived = arrived.clone();
+        runners.push(Runner::start(&store, "wuno96b", name, 64, move |request, to| {
+            let id = request.header("x-request-id").unwrap_or("").to_owned();
+            arrived.lock().unwrap().insert(id.clone());
+            let is_long = request.target().ends_with("/long");
+            let length = if is_long { ANSWER_BYTES } else { 800 };
+            pause_ms(if is_long { 15 } else { 300 });
+            let headers = [
+                ("X-Request-Id", id.as_str()),
+                ("X-Server-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"),
+            ];
+            write_answer(to, "200 OK", &headers, &vec![b'x'; length])
+        }));
+    }
+    let mut gateways = Gateway::start_all(&store, folder, 2);
+    pause_ms(LEAD_MS);
+    let front = gateways[0].front;
+    record.line(&format!("platform: {} has {:.0} MB", gateways[0].name, gateways[0].memory_mb()));
+    let over = Arc::new(AtomicBool::new(false));
+    // The other clients send one request after the other, each on a kept connection.
+    let lost = Arc::new(Mutex::new(0));
+    let mut others = Vec::new();
+    for _ in 0..OTHERS {
+        let (record, over, lost) = (record.clone(), over.clone(), lost.clone());
+        let arrived = arrived.clone();
+        others.push(thread::spawn(move || {
+            let mut kept: Option<BufReader<TcpStream>> = None;
+            let mut served_on_it = 0;
+            while !over.load(Ordering::Relaxed) {
+                let Some(mut reader) = kept.take().or_else(|| {
+                    served_on_it = 0;
+                    connect_with(front, 0, 0).ok().map(BufReader::new)
+                }) else {
+                    pause_ms(100);
+                    continue;
+                };
+                let id = new_id();
+                let sent = request("GET", "/puxa403/2f", &id, 4_000, "");
+                if reader.get_mut().write_all(sent.as_bytes()).is_err() {
+                    continue;
+                }
+                let seen = read_answer(&mut reader);
+                if seen.is_complete && seen.status == 200 {
+                    served_on_it += 1;
+                    kept = Some(reader);
+                } else if seen.status == 0 && arrived.lock().unwrap().contains(&id) {
+                    record.line(&format!("client: {id}: passed on to a runner; its connection ends without an answer, after {served_on_it} answers on it"));
+                    if served_on_it > 0 {
+                        *lost.lock().unwrap() += 1;
+                    }
+                }
+            }
+        }));
+    }
+    pause_ms(2_000);
+    let begun = Instant::now();
+    let mut started = 0;
+    let mut highest_mb: f64 = 0.0;
+    let mut kills = 0;
+    while begun.elapsed().as_millis() < 25_000 {
+        if started < READERS && begun.elapsed().as_millis() as u64 >= started * READER_INTERVAL_MS {
+            started += 1;
+            thread::spawn(move || {
+                let Ok(mut stream) = connect_with(front, 65_536, 1_448) else {
+                    return;
+                };
+                let id = new_id();
+                let sent = request("GET", "/puxa403/long", &id, 8_000, "");
+                let _ = stream.write_all(sent.as_bytes());
+                let reader = SlowReader {
+                    stream,
+                    bytes: if has_trouble() { 12_000 } else { 0 },
+                    pause_ms: 100,
+                };
+                read_answer(&mut BufReader::with_capacity(25_000, reader));
+            });
+        }
+        let memory_mb = gateways[0].memory_mb();
+        highest_mb = highest_mb.max(memory_mb);
+        if memory_mb > MEMORY_MB {
+            record.line(&format!("platform: {} holds {memory_mb:.0} MB of {MEMORY_MB:.0} after {started} long answers; it is killed", gateways[0].name));
+            kills += 1;
+            gateways[0].signal(SIGKILL);
+            break;
+        }
+        pause_ms(20);
+    }
+    pause_ms(1_000);
+    over.store(true, Ordering::Relaxed);
+    if kills > 0 {
+        gateways[0].restart();
+    }
+    for other in others {
+        let _ = other.join();
+    }
+    let lost = *lost.lock().unwrap();
+    record.line(&format!("{started} long answers, at most {highest_mb:.0} MB, {kills} kills, {lost} requests of others lost"));
+    lost > 3
+}
+
+/// Case: a machine is stopped by plan while clients still read answers that its runners
+/// have finished.
+fn flush(record: &Record, folder: &Path) -> bool {
+    const CLIENTS: usize = 4;
+    const ANSWER_BYTES: usize = 4_000_000;
+    const READ_BYTES: usize = 12_000;
+    let store = Store::start();
+    publish(&store, 7);
+    let mut runners = Vec::new();
+    for name in ["i-5be0a1f0", "i-77c2d9e4"] {
+        let record = record.clone();
+        runners.push(Runner::start(&store, "wuno96b", name, 6, move |request, to| {
+            let id = request.header("x-request-id").unwrap_or("").to_owned();
+            pause_ms(15);
+            let headers = [
+                ("X-Request-Id", id.as_str()),
+                ("X-Server-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"),
+            ];
+            let wrote = write_answer(to, "200 OK", &headers, &vec![b'x'; ANSWER_BYTES]);
+            record.line(&format!("runner {name}: ran {id}, answer written: {}", wrote.is_ok()));
+            wrote
+        }));
+    }
+    let mut gateways = Gateway::start_all(&store, folder, 2);
+    pause_ms(LEAD_MS);
+    let mut readers = Vec::new();
+    for _ in 0..CLIENTS {
+        let id = new_id();
+        let front = gateways[0].front;
+        let mut stream =
+            connect_with(front, 65_536, 1_448).unwrap_or_else(|e| cannot_run(&e));
+        let sent = request("GET", "/puxa403/2f", &id, 8_000, "");
+        record.line(&format!("client: sends {id} to {}", gateways[0].name));
+        let _ = stream.write_all(sent.as_bytes());
+        let record = record.clone();
+        readers.push(thread::spawn(move || {
+            let begun = Instant::now();
+            let reader = SlowReader {
+                stream,
+                bytes: READ_BYTES,
+                pause_ms: 22,
+            };
+            let seen = read_answer(&mut BufReader::with_capacity(READ_BYTES, reader));
+            record.line(&format!(
+                "client: {id}: status {}, {} bytes, complete: {} {} after {} ms",
+                seen.status,
+                seen.body.len(),
+                seen.is_complete,
+                seen.reason,
+                begun.elapsed().as_millis()
+            ));
+            seen.is_complete && seen.body.len() == ANSWER_BYTES
+        }));
+    }
+    pause_ms(500);
+    let stopped = Instant::now();
+    if has_trouble() {
+        record.line(&format!("platform: SIGTERM to {}, grace 8 s", gateways[0].name));
+        gateways[0].signal(SIGTERM);
+        while stopped.elapsed().as_millis() < 8_000 {
+            if let Some(end) = gateways[0].ended() {
+                let after_ms = stopped.elapsed().as_millis();
+                record.line(&format!("{} ended after {after_ms} ms: {end}", gateways[0].name));
+                break;
+            }
+            pause_ms(10);
+        }
+    }
+    let complete = readers.into_iter().map(|r| r.join().unwrap_or_default());
+    let complete = complete.filter(|whole| *whole).count();
+    record.line(&format!("{complete} of {CLIENTS} answers came whole"));
+    complete < CLIENTS
+}
+
 fn main() {
     let mut args = std::env::args().skip(1);
     let (Some(case), Some(folder)) = (args.next(), args.next()) else {
@@ -238,6 +426,8 @@
     let is_broken = match case.as_str() {
         "silence" => silence(&record, &scratch),
         "slow" => slow(&record, &scratch),
+        "flush" => flush(&record, &scratch),
+        "memory" => memory(&record, &scratch),
         _ => cannot_run(&format!("there is no case {case}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
