review: a preempted stream goes on at a second runner beside the first

After 3.6 s of silence of a sound runner the gateway has the stream resumed elsewhere, and the first runner is still at work on it more than 400 ms later.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -413,6 +413,96 @@
     complete < CLIENTS
 }
 
+/// Case: a runner preempts a stream, which the gateway then has run by another one too.
+fn twice(record: &Record, folder: &Path) -> bool {
+    const EVENTS: u64 = 24;
+    const EVENT_BYTES: usize = 55;
+    const PAUSE_AFTER: u64 = 5;
+    const EVENT_MS: u64 = 60;
+    /// Time to read the prompt in again.
+    const PREFILL_MS: u64 = 270;
+    /// Time after which the run before must be over, by the rule.
+    const OVER_MS: u64 = 400;
+    let preempted_ms = if has_trouble() { 4_500 } else { 0 };
+    let store = Store::start();
+    publish(&store, 7);
+    /// The first run: its runner, and when that last worked on it.
+    #[derive(Default)]
+    struct Runs {
+        first: Option<&'static str>,
+        last_work: Option<Instant>,
+        second_begun: Option<Instant>,
+    }
+    let runs: Arc<Mutex<Runs>> = Arc::default();
+    let mut runners = Vec::new();
+    for name in ["i-7f3a91c2", "i-a90c11d4"] {
+        let (record, runs) = (record.clone(), runs.clone());
+        runners.push(Runner::start(&store, "huvo11a", name, 64, move |request, to| {
+            let id = request.header("x-request-id").unwrap_or("").to_owned();
+            let last = request.header("last-event-id").and_then(|id| id.parse().ok());
+            let first_event = last.unwrap_or(0u64) + 1;
+            let is_first = {
+                let mut runs = runs.lock().unwrap();
+                let is_first = runs.first.is_none();
+                match is_first {
+                    true => runs.first = Some(name),
+                    false => runs.second_begun = Some(Instant::now()),
+                }
+                is_first
+            };
+            record.line(&format!("runner {name}: runs {id} from event {first_event}"));
+            let run = |to: &mut TcpStream| {
+                start_stream(to, &id)?;
+                for number in first_event..=EVENTS {
+                    if is_first && number == PAUSE_AFTER + 1 && preempted_ms > 0 {
+                        record.line(&format!("runner {name}: {id} is preempted after event {PAUSE_AFTER}"));
+                        pause_ms(preempted_ms);
+                        record.line(&format!("runner {name}: {id} has room again; reads its prompt in again"));
+                        pause_ms(PREFILL_MS);
+                    }
+                    if is_first {
+                        runs.lock().unwrap().last_work = Some(Instant::now());
+                    }
+                    send_event(to, number, EVENT_BYTES)?;
+                    pause_ms(EVENT_MS);
+                }
+                end_stream(to)
+            };
+            let ran = run(to);
+            let end = match &ran {
+                Ok(()) => "sent to its end".to_owned(),
+                Err(err) => format!("drops it, as its connection is closed: {err}"),
+            };
+            record.line(&format!("runner {name}: {id}: {end}"));
+            ran.map(|()| true)
+        }));
+    }
+    let gateways = Gateway::start_all(&store, folder, 2);
+    pause_ms(LEAD_MS);
+    let id = new_id();
+    let mut stream = connect_with(gateways[0].front, 0, 0).unwrap_or_else(|e| cannot_run(&e));
+    let sent = request("POST", "/lohu930/2f", &id, 12_000, "prompt");
+    record.line(&format!("client: sends {id} to {}", gateways[0].name));
+    let _ = stream.write_all(sent.as_bytes());
+    let seen = read_answer(&mut BufReader::new(stream));
+    record.line(&format!(
+        "client: {id}: status {}, {} events, complete: {} {}",
+        seen.status,
+        count_events(&seen.body),
+        seen.is_complete,
+        seen.reason
+    ));
+    pause_ms(2_000);
+    let runs = runs.lock().unwrap();
+    let (Some(begun), Some(worked)) = (runs.second_begun, runs.last_work) else {
+        record.line("the request ran at one runner only");
+        return false;
+    };
+    let late_ms = worked.saturating_duration_since(begun).as_millis() as u64;
+    record.line(&format!("the first runner still worked on it {late_ms} ms after the second one had begun"));
+    late_ms > OVER_MS
+}
+
 fn main() {
     let mut args = std::env::args().skip(1);
     let (Some(case), Some(folder)) = (args.next(), args.next()) else {
@@ -426,6 +516,7 @@
     let is_broken = match case.as_str() {
         "silence" => silence(&record, &scratch),
         "slow" => slow(&record, &scratch),
+        "twice" => twice(&record, &scratch),
         "flush" => flush(&record, &scratch),
         "memory" => memory(&record, &scratch),
         _ => cannot_run(&format!("there is no case {case}")),
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -6,7 +6,7 @@
     fs,
     io::{self, BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    os::fd::AsRawFd,
+    os::{fd::AsRawFd, unix::process::CommandExt},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -22,6 +22,7 @@
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn connect(fd: i32, address: *const u8, len: u32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
 pub const SIGKILL: i32 = 9;
@@ -530,7 +531,16 @@
 fn spawn(settings: &Path, log: &Path) -> Child {
     let log = fs::OpenOptions::new().create(true).append(true).open(log);
     let log = log.unwrap_or_else(|err| cannot_run(&err));
-    Command::new("target/release/currantbank")
+    let mut command = Command::new("target/release/currantbank");
+    // SAFETY: a plain system call, so that the process ends with the script.
+    unsafe {
+        command.pre_exec(|| {
+            const PARENT_DEATH_SIGNAL: i32 = 1;
+            prctl(PARENT_DEATH_SIGNAL, SIGKILL as u64);
+            Ok(())
+        });
+    }
+    command
         .arg("gateway")
         .env_clear()
         .env("CURRANTBANK_BOOT", settings)
