--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -384,8 +384,8 @@
     child: Child,
 }
 
-/// Bounds of the settings; those of the site procure-sicilia.
-const BOUNDS: &[(&str, &str)] = &[
+/// The settings of a front on the site procure-sicilia.
+pub const PROCURE: &[(&str, &str)] = &[
     ("bounds.retry_ratio", "0.9"),
     ("bounds.retry_slack", "58"),
     ("bounds.retry_window_s", "10"),
@@ -400,6 +400,22 @@
     ("ip", "127.0.0.1"),
 ];
 
+/// The settings of the smallest front on the site pcant-ruta-grown.
+pub const PCANT: &[(&str, &str)] = &[
+    ("bounds.retry_ratio", "0.9"),
+    ("bounds.retry_slack", "84"),
+    ("bounds.retry_window_s", "10"),
+    ("bounds.expose_share", "0.0975"),
+    ("bounds.expose_slack", "30"),
+    ("bounds.session_s", "8.5"),
+    ("bounds.grace_s", "8"),
+    ("limits.memory_mb", "120"),
+    ("limits.max_fds", "3075"),
+    ("zone", "bilbao-a"),
+    ("region", "norte-es"),
+    ("ip", "127.0.0.1"),
+];
+
 /// Fills in the template of the deploy file.
 fn fill_template(template: &str, values: &HashMap<String, String>) -> String {
     let mut filled = String::new();
@@ -428,8 +444,13 @@
 }
 
 impl Gateway {
-    /// Starts `count` gateways that know each other.
-    pub fn start_all(store: &Store, folder: &Path, count: usize) -> Vec<Gateway> {
+    /// Starts `count` gateways that know each other, with the settings of a site.
+    pub fn start_all(
+        store: &Store,
+        folder: &Path,
+        site: &[(&str, &str)],
+        count: usize,
+    ) -> Vec<Gateway> {
         let template = fs::read_to_string("deploy/gateway.ini")
             .unwrap_or_else(|err| cannot_run(&err));
         let addresses = free_addresses(4 * count);
@@ -438,8 +459,8 @@
             .collect();
         let start = |index: usize| {
             let own = &addresses[4 * index..4 * index + 4];
-            let name = format!("front-palermo-{}", index + 1);
-            let mut values: HashMap<String, String> = BOUNDS
+            let name = format!("front-{}", index + 1);
+            let mut values: HashMap<String, String> = site
                 .iter()
                 .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
                 .collect();
