--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -27,10 +27,17 @@
 
 /// Publishes a configuration with a route for streams and one for safe requests.
 fn publish(store: &Store, version: u64) {
+    publish_with(store, version, 15_000);
+}
+
+/// The same with a limit on how long a connection of a client may be idle.
+fn publish_with(store: &Store, version: u64, idle_timeout_ms: u64) {
     let stream = r#"{"name":"r-stream","host":"ficu95.example","path_prefix":"/lohu930/","kind":"streaming","timeout_ms":12000,"slo_ms":2000,"priority":0,"service":"huvo11a","max_attempts":3,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":1200}"#;
     let safe = r#"{"name":"r-safe","host":"ficu95.example","path_prefix":"/puxa403/","kind":"safe","timeout_ms":8000,"slo_ms":2000,"priority":2,"service":"wuno96b","max_attempts":2,"public":false}"#;
     let services = r#"{"name":"huvo11a","health_path":"/healthz","max_conns":370,"protocol":"h1","tls":false},{"name":"wuno96b","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}"#;
-    let limits = r#"{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}"#;
+    let limits = format!(
+        r#"{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":{idle_timeout_ms}}}"#
+    );
     let config = format!(
         r#"{{"version":{version},"routes":[{stream},{safe}],"services":[{services}],"limits":{limits},"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"priority":1}}]}}"#
     );
@@ -67,165 +74,6 @@
     String::from_utf8_lossy(body).matches("id: ").count()
 }
 
-/// Case: the only runner with room pauses in the middle of a stream, while the machine
-/// that passes it on is stopped by plan.
-fn silence(record: &Record, folder: &Path) -> bool {
-    const EVENTS: u64 = 24;
-    const EVENT_BYTES: usize = 55;
-    const PAUSE_AFTER: u64 = 5;
-    let silent_ms = if has_trouble() { 4_500 } else { 0 };
-    let store = Store::start();
-    publish(&store, 7);
-    let taken: Arc<Mutex<Option<String>>> = Arc::default();
-    let broken_off = Arc::new(AtomicBool::new(false));
-    let mut runners = Vec::new();
-    for name in ["i-7f3a91c2", "i-a90c11d4"] {
-        let (record, taken) = (record.clone(), taken.clone());
-        let broken_off = broken_off.clone();
-        runners.push(Runner::start(&store, "huvo11a", name, 1, move |request, to| {
-            let id = request.header("x-request-id").unwrap_or("").to_owned();
-            let is_first = {
-                let mut taken = taken.lock().unwrap();
-                let is_first = taken.is_none();
-                taken.get_or_insert_with(|| name.to_owned());
-                is_first
-            };
-            let last = request.header("last-event-id").unwrap_or("none").to_owned();
-            if !is_first {
-                record.line(&format!("runner {name}: {id} (Last-Event-Id {last}) gets 503, X-Not-Executed: all slots are taken"));
-                let headers = [("X-Request-Id", id.as_str()), ("X-Not-Executed", "1")];
-                return write_answer(to, "503 Full", &headers, b"");
-            }
-            record.line(&format!("runner {name}: runs {id}"));
-            let run = |to: &mut TcpStream| {
-                start_stream(to, &id)?;
-                for number in 1..=EVENTS {
-                    send_event(to, number, EVENT_BYTES)?;
-                    if number == PAUSE_AFTER {
-                        record.line(&format!("runner {name}: {id} sent event {number}; pauses for {silent_ms} ms"));
-                        pause_ms(silent_ms);
-                    }
-                    pause_ms(60);
-                }
-                end_stream(to)
-            };
-            let ran = run(to);
-            match &ran {
-                Ok(()) => record.line(&format!("runner {name}: {id} sent to its end")),
-                Err(err) => {
-                    broken_off.store(false, Ordering::Relaxed);
-                    record.line(&format!("runner {name}: {id}: the gateway closed the connection: {err}"));
-                }
-            }
-            ran.map(|()| true)
-        }));
-    }
-    let gateways = Gateway::start_all(&store, folder, PROCURE, 2);
-    pause_ms(LEAD_MS);
-    let id = new_id();
-    let mut stream = connect_with(gateways[0].front, 0, 0).unwrap_or_else(|e| cannot_run(&e));
-    let sent = request("POST", "/lohu930/2f", &id, 12_000, "prompt");
-    record.line(&format!("client: sends {id} to {}", gateways[0].name));
-    let _ = stream.write_all(sent.as_bytes());
-    let reader = thread::spawn({
-        let record = record.clone();
-        move || {
-            let seen = read_answer(&mut BufReader::new(stream));
-            record.line(&format!(
-                "client: {id}: status {}, {} events, complete: {} {}",
-                seen.status,
-                count_events(&seen.body),
-                seen.is_complete,
-                seen.reason
-            ));
-            seen
-        }
-    });
-    pause_ms(500);
-    record.line(&format!("platform: SIGTERM to {}, grace 8 s", gateways[0].name));
-    gateways[0].signal(SIGTERM);
-    let seen = reader.join().unwrap_or_default();
-    if taken.lock().unwrap().is_none() {
-        cannot_run(&"no runner got the request");
-    }
-    !(seen.status == 200 && seen.is_complete && count_events(&seen.body) == EVENTS as usize)
-}
-
-/// Case: clients with a small window read slowly, while the machine is stopped by plan.
-fn slow(record: &Record, folder: &Path) -> bool {
-    const CLIENTS: usize = 4;
-    const EVENTS: u64 = 65;
-    const EVENT_BYTES: usize = 300;
-    const RECEIVE_BYTES: i32 = 4_096;
-    let store = Store::start();
-    publish(&store, 7);
-    let mut runners = Vec::new();
-    for name in ["i-7f3a91c2", "i-a90c11d4"] {
-        let record = record.clone();
-        runners.push(Runner::start(&store, "huvo11a", name, 64, move |request, to| {
-            let id = request.header("x-request-id").unwrap_or("").to_owned();
-            let last = request.header("last-event-id").and_then(|id| id.parse().ok());
-            let first = last.unwrap_or(0u64) + 1;
-            record.line(&format!("runner {name}: runs {id} from event {first}"));
-            let run = |to: &mut TcpStream| {
-                start_stream(to, &id)?;
-                for number in first..=EVENTS {
-                    send_event(to, number, EVENT_BYTES)?;
-                    pause_ms(10);
-                }
-                end_stream(to)
-            };
-            let ran = run(to);
-            let end = match &ran {
-                Ok(()) => "sent to its end".to_owned(),
-                Err(err) => format!("the gateway closed the connection: {err}"),
-            };
-            record.line(&format!("runner {name}: {id}: {end}"));
-            ran.map(|()| true)
-        }));
-    }
-    let gateways = Gateway::start_all(&store, folder, PCANT, 2);
-    pause_ms(LEAD_MS);
-    let mut readers = Vec::new();
-    for _ in 0..CLIENTS {
-        let id = new_id();
-        let front = gateways[0].front;
-        let mut stream =
-            connect_with(front, RECEIVE_BYTES, 1_448).unwrap_or_else(|e| cannot_run(&e));
-        let sent = request("POST", "/lohu930/2f", &id, 12_000, "prompt");
-        record.line(&format!("client: sends {id} to {}", gateways[0].name));
-        let _ = stream.write_all(sent.as_bytes());
-        let record = record.clone();
-        readers.push(thread::spawn(move || {
-            let begun = Instant::now();
-            let reader = SlowReader {
-                stream,
-                bytes: if has_trouble() { 400 } else { 0 },
-                pause_ms: 100,
-            };
-            let seen = read_answer(&mut BufReader::with_capacity(400, reader));
-            record.line(&format!(
-                "client: {id}: status {}, {} events, complete: {} {} after {} ms",
-                seen.status,
-                count_events(&seen.body),
-                seen.is_complete,
-                seen.reason,
-                begun.elapsed().as_millis()
-            ));
-            seen
-        }));
-    }
-    pause_ms(300);
-    record.line(&format!("platform: SIGTERM to {}, grace 8 s", gateways[0].name));
-    gateways[0].signal(SIGTERM);
-    let seen = readers.into_iter().map(|r| r.join().unwrap_or_default());
-    let seen: Vec<Seen> = seen.collect();
-    let whole = |seen: &&Seen| seen.is_complete && count_events(&seen.body) == EVENTS as usize;
-    let complete = seen.iter().filter(whole).count();
-    record.line(&format!("{complete} of {CLIENTS} answers came whole"));
-    complete < CLIENTS
-}
-
 /// Case: clients read long answers slowly, and the platform kills a process that exceeds
 /// its memory.
 fn memory(record: &Record, folder: &Path) -> bool {
@@ -237,10 +85,9 @@
     let store = Store::start();
     publish(&store, 7);
     let arrived: Arc<Mutex<HashSet<String>>> = Arc::default();
-    let mut runners = Vec::new();
     for name in ["i-5be0a1f0", "i-77c2d9e4", "i-c4410f3a"] {
         let arrived = arrived.clone();
-        runners.push(Runner::start(&store, "wuno96b", name, 64, move |request, to| {
+        Runner::start(&store, "wuno96b", name, 64, move |request, to| {
             let id = request.header("x-request-id").unwrap_or("").to_owned();
             arrived.lock().unwrap().insert(id.clone());
             let is_long = request.target().ends_with("/long");
@@ -251,7 +98,7 @@
                 ("X-Server-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"),
             ];
             write_answer(to, "200 OK", &headers, &vec![b'x'; length])
-        }));
+        });
     }
     let mut gateways = Gateway::start_all(&store, folder, PCANT, 2);
     pause_ms(LEAD_MS);
@@ -347,10 +194,9 @@
     const READ_BYTES: usize = 12_000;
     let store = Store::start();
     publish(&store, 7);
-    let mut runners = Vec::new();
     for name in ["i-5be0a1f0", "i-77c2d9e4"] {
         let record = record.clone();
-        runners.push(Runner::start(&store, "wuno96b", name, 6, move |request, to| {
+        Runner::start(&store, "wuno96b", name, 6, move |request, to| {
             let id = request.header("x-request-id").unwrap_or("").to_owned();
             pause_ms(15);
             let headers = [
@@ -360,7 +206,7 @@
             let wrote = write_answer(to, "200 OK", &headers, &vec![b'x'; ANSWER_BYTES]);
             record.line(&format!("runner {name}: ran {id}, answer written: {}", wrote.is_ok()));
             wrote
-        }));
+        });
     }
     let mut gateways = Gateway::start_all(&store, folder, PCANT, 2);
     pause_ms(LEAD_MS);
@@ -413,6 +259,79 @@
     complete < CLIENTS
 }
 
+/// Case: a configuration shortens the time for which connections may be idle, while clients
+/// read answers.
+fn idle(record: &Record, folder: &Path) -> bool {
+    const CLIENTS: usize = 6;
+    const ANSWER_BYTES: usize = 4_000_000;
+    const READ_BYTES: usize = 12_000;
+    const LOST_MAX: usize = 3;
+    let store = Store::start();
+    publish(&store, 7);
+    for name in ["i-5be0a1f0", "i-77c2d9e4"] {
+        let record = record.clone();
+        Runner::start(&store, "wuno96b", name, 6, move |request, to| {
+            let id = request.header("x-request-id").unwrap_or("").to_owned();
+            let is_long = request.target().ends_with("/long");
+            let length = if is_long { ANSWER_BYTES } else { 800 };
+            pause_ms(15);
+            let headers = [
+                ("X-Request-Id", id.as_str()),
+                ("X-Server-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"),
+            ];
+            let wrote = write_answer(to, "200 OK", &headers, &vec![b'x'; length]);
+            record.line(&format!("runner {name}: ran {id}, {length} bytes, answer written: {}", wrote.is_ok()));
+            wrote
+        });
+    }
+    let gateways = Gateway::start_all(&store, folder, PCANT, 2);
+    pause_ms(LEAD_MS);
+    let mut readers = Vec::new();
+    for _ in 0..CLIENTS {
+        let front = gateways[0].front;
+        let name = gateways[0].name.clone();
+        let record = record.clone();
+        readers.push(thread::spawn(move || {
+            let stream =
+                connect_with(front, 65_536, 1_448).unwrap_or_else(|e| cannot_run(&e));
+            let mut reader = BufReader::with_capacity(READ_BYTES, SlowReader {
+                stream,
+                bytes: READ_BYTES,
+                pause_ms: 22,
+            });
+            for path in ["/puxa403/short", "/puxa403/long"] {
+                let id = new_id();
+                let sent = request("GET", path, &id, 8_000, "");
+                record.line(&format!("client: sends {id} ({path}) to {name}"));
+                let _ = reader.get_mut().stream.write_all(sent.as_bytes());
+                let begun = Instant::now();
+                let seen = read_answer(&mut reader);
+                record.line(&format!(
+                    "client: {id}: status {}, {} bytes, complete: {} {} after {} ms",
+                    seen.status,
+                    seen.body.len(),
+                    seen.is_complete,
+                    seen.reason,
+                    begun.elapsed().as_millis()
+                ));
+                if !seen.is_complete {
+                    return false;
+                }
+            }
+            true
+        }));
+    }
+    pause_ms(1_000);
+    if has_trouble() {
+        record.line("operator: writes version 8, which differs in idle_timeout_ms: 3,000");
+        publish_with(&store, 8, 3_000);
+    }
+    let whole = readers.into_iter().map(|r| r.join().unwrap_or_default());
+    let whole = whole.filter(|whole| *whole).count();
+    record.line(&format!("{whole} of {CLIENTS} long answers came whole"));
+    CLIENTS - whole > LOST_MAX
+}
+
 /// Case: a runner preempts a stream, which the gateway then has run by another one too.
 fn twice(record: &Record, folder: &Path) -> bool {
     const EVENTS: u64 = 24;
@@ -434,10 +353,9 @@
         second_begun: Option<Instant>,
     }
     let runs: Arc<Mutex<Runs>> = Arc::default();
-    let mut runners = Vec::new();
     for name in ["i-7f3a91c2", "i-a90c11d4"] {
         let (record, runs) = (record.clone(), runs.clone());
-        runners.push(Runner::start(&store, "huvo11a", name, 64, move |request, to| {
+        Runner::start(&store, "huvo11a", name, 64, move |request, to| {
             let id = request.header("x-request-id").unwrap_or("").to_owned();
             let last = request.header("last-event-id").and_then(|id| id.parse().ok());
             let first_event = last.unwrap_or(0u64) + 1;
@@ -475,7 +393,7 @@
             };
             record.line(&format!("runner {name}: {id}: {end}"));
             ran.map(|()| true)
-        }));
+        });
     }
     let gateways = Gateway::start_all(&store, folder, PROCURE, 2);
     pause_ms(LEAD_MS);
@@ -514,10 +432,9 @@
     let trouble = if has_trouble() { "with" } else { "without" };
     record.line(&format!("case {case}, {trouble} the disruption"));
     let is_broken = match case.as_str() {
-        "silence" => silence(&record, &scratch),
-        "slow" => slow(&record, &scratch),
         "twice" => twice(&record, &scratch),
         "flush" => flush(&record, &scratch),
+        "idle" => idle(&record, &scratch),
         "memory" => memory(&record, &scratch),
         _ => cannot_run(&format!("there is no case {case}")),
     };
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -11,7 +11,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -27,8 +27,6 @@
 
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 /// Writes to `record.txt` what happened, with the time since the start of the script.
 #[derive(Clone)]
@@ -322,15 +320,10 @@
 }
 
 /// A runner, which writes its entry to the store every 1.2 s.
-pub struct Runner {
-    pub id: String,
-    pub address: SocketAddr,
-    /// Whether it goes on writing its entry.
-    pub beats: Arc<AtomicBool>,
-}
+pub struct Runner;
 
 impl Runner {
-    pub fn start<F>(store: &Store, service: &str, id: &str, slots: u32, answer: F) -> Self
+    pub fn start<F>(store: &Store, service: &str, id: &str, slots: u32, answer: F)
     where
         F: Fn(&Message, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
     {
@@ -343,25 +336,17 @@
             }
             answer(request, to)
         });
-        let beats = Arc::new(AtomicBool::new(true));
         let (store, service, key) = (store.clone(), service.to_owned(), id.to_owned());
-        let (beating, born) = (beats.clone(), wall_ms());
+        let born = wall_ms();
         thread::spawn(move || {
             for seq in 1.. {
-                if beating.load(Ordering::Relaxed) {
-                    let entry = format!(
-                        r#"{{"service":"{service}","addr":"{address}","zone":"palermo","version":"v1","slots":{slots},"state":"ready","cold_left_ms":0,"seq":{seq},"born":{born}}}"#
-                    );
-                    store.put("keyed.servers", &key, &entry);
-                }
+                let entry = format!(
+                    r#"{{"service":"{service}","addr":"{address}","zone":"a","version":"v1","slots":{slots},"state":"ready","cold_left_ms":0,"seq":{seq},"born":{born}}}"#
+                );
+                store.put("keyed.servers", &key, &entry);
                 pause_ms(1_200);
             }
         });
-        Runner {
-            id: id.to_owned(),
-            address,
-            beats,
-        }
     }
 }
 
@@ -395,7 +380,7 @@
     ("bounds.grace_s", "8"),
     ("limits.memory_mb", "110"),
     ("limits.max_fds", "4100"),
-    ("zone", "palermo"),
+    ("zone", "a"),
     ("region", "sicilia"),
     ("ip", "127.0.0.1"),
 ];
@@ -411,7 +396,7 @@
     ("bounds.grace_s", "8"),
     ("limits.memory_mb", "120"),
     ("limits.max_fds", "3075"),
-    ("zone", "bilbao-a"),
+    ("zone", "a"),
     ("region", "norte-es"),
     ("ip", "127.0.0.1"),
 ];
