review: case 6 counts in MiB, with more clients a second

Cause: the bound was counted in MB, and with 20 clients a second the memory passed it late. Change: MiB, 33 clients a second.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -77,11 +77,11 @@
 /// Case: clients read long answers slowly, and the platform kills a process that exceeds
 /// its memory.
 fn memory(record: &Record, folder: &Path) -> bool {
-    const READERS: u64 = 150;
+    const READERS: u64 = 200;
     const ANSWER_BYTES: usize = 2_000_000;
-    const READER_INTERVAL_MS: u64 = 50;
+    const READER_INTERVAL_MS: u64 = 30;
     const OTHERS: usize = 8;
-    const MEMORY_MB: f64 = 120.0;
+    const MEMORY_MIB: f64 = 120.0;
     let store = Store::start();
     publish(&store, 7);
     let arrived: Arc<Mutex<HashSet<String>>> = Arc::default();
@@ -103,7 +103,7 @@
     let mut gateways = Gateway::start_all(&store, folder, PCANT, 2);
     pause_ms(LEAD_MS);
     let front = gateways[0].front;
-    record.line(&format!("platform: {} has {:.0} MB", gateways[0].name, gateways[0].memory_mb()));
+    record.line(&format!("platform: {} has {:.0} MiB", gateways[0].name, gateways[0].memory_mib()));
     let over = Arc::new(AtomicBool::new(false));
     // The other clients send one request after the other, each on a kept connection.
     let lost = Arc::new(Mutex::new(0));
@@ -143,7 +143,7 @@
     pause_ms(2_000);
     let begun = Instant::now();
     let mut started = 0;
-    let mut highest_mb: f64 = 0.0;
+    let mut highest_mib: f64 = 0.0;
     let mut kills = 0;
     while begun.elapsed().as_millis() < 25_000 {
         if started < READERS && begun.elapsed().as_millis() as u64 >= started * READER_INTERVAL_MS {
@@ -163,10 +163,10 @@
                 read_answer(&mut BufReader::with_capacity(25_000, reader));
             });
         }
-        let memory_mb = gateways[0].memory_mb();
-        highest_mb = highest_mb.max(memory_mb);
-        if memory_mb > MEMORY_MB {
-            record.line(&format!("platform: {} holds {memory_mb:.0} MB of {MEMORY_MB:.0} after {started} long answers; it is killed", gateways[0].name));
+        let memory_mib = gateways[0].memory_mib();
+        highest_mib = highest_mib.max(memory_mib);
+        if memory_mib > MEMORY_MIB {
+            record.line(&format!("platform: {} holds {memory_mib:.0} MiB of {MEMORY_MIB:.0} after {started} long answers; it is killed", gateways[0].name));
             kills += 1;
             gateways[0].signal(SIGKILL);
             break;
@@ -182,7 +182,7 @@
         let _ = other.join();
     }
     let lost = *lost.lock().unwrap();
-    record.line(&format!("{started} long answers, at most {highest_mb:.0} MB, {kills} kills, {lost} requests of others lost"));
+    record.line(&format!("{started} long answers, at most {highest_mib:.0} MiB, {kills} kills, {lost} requests of others lost"));
     lost > 3
 }
 
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -511,13 +511,13 @@
         Some(status.to_string())
     }
 
-    /// Returns the resident memory, MB.
-    pub fn memory_mb(&self) -> f64 {
+    /// Returns the resident memory, MiB.
+    pub fn memory_mib(&self) -> f64 {
         let path = format!("/proc/{}/status", self.child.id());
         let status = fs::read_to_string(path).unwrap_or_default();
         let line = status.lines().find(|line| line.starts_with("VmRSS:"));
         let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
-        kb.unwrap_or(0.0) * 1_024.0 / 1e6
+        kb.unwrap_or(0.0) / 1_024.0
     }
 
     /// Starts the process again after its end.
